--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load tool and measurements."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for upstreams."""
--- /dev/null
+++ b/standins/upstream.py
@@ -0,0 +1,524 @@
+"""A stand-in for upstreams: slots, cold start, drain, shed and bad answers.
+
+One process may hold several upstreams, each at a port of its own. A request
+may name its own service time with ``?work_ms=``; ``/file/N`` is a download of
+N bytes. ``/control/...`` switches faults and shows what really ran.
+"""
+
+import argparse
+import asyncio
+from collections import Counter
+from collections import deque
+from dataclasses import asdict
+from dataclasses import dataclass
+from dataclasses import field
+import functools
+import json
+import random
+import signal
+from typing import Any
+import urllib.parse
+
+import httptools
+import uvloop
+
+from wigeongw.adapters import http_upstream as names
+from wigeongw.adapters.http_server import address_of
+from wigeongw.adapters.http_server import bind
+from wigeongw.core.clock import Clock
+from wigeongw.core.clock import seconds
+
+COLD_FACTOR = 4.0
+STALL_FACTOR = 3.0
+STALL_MS = (20.0, 200.0)
+FILE_ETAG = '"v1"'
+
+Headers = dict[str, str]
+
+
+@dataclass(slots=True)
+class Faults:
+    """What goes wrong until it is switched off.
+
+    Attributes:
+        truncate_at: bytes of the raw answer before the connection closes.
+        file_cut_at: bytes of a file's body before the connection closes.
+        wrong_identity: answers carry another request's identity.
+        late_ms: answers come this much later.
+        cross: each answer carries the body of the request before.
+        drop: connections close instead of an answer, after running.
+        shed: every request is turned away.
+        refuse_status: every request runs and gets this status.
+        no_length: answers end with the connection.
+        duplicate: answers are sent twice.
+    """
+
+    truncate_at: int = -1
+    file_cut_at: int = -1
+    wrong_identity: bool = False
+    late_ms: float = 0.0
+    cross: bool = False
+    drop: bool = False
+    shed: bool = False
+    refuse_status: int = 0
+    no_length: bool = False
+    duplicate: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """How an upstream behaves."""
+
+    slots: int = 4
+    queue_most: int = 64
+    cold_work: int = 0
+    cold_bears: int = 1
+    work_ms: float = 10.0
+    sigma: float = 0.0
+    stall_every_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Job:
+    """One request in an upstream."""
+
+    identity: str
+    key: str
+    method: str
+    path: str
+    query: str
+    headers: Headers
+    body: bytes
+    connection: "Connection"
+    keep: bool
+    cancelled: bool = False
+    running: bool = False
+    timer: asyncio.TimerHandle | None = None
+
+
+@dataclass(slots=True)
+class Seen:
+    """What an upstream really did."""
+
+    ran: Counter[str] = field(default_factory=Counter)
+    keys: Counter[str] = field(default_factory=Counter)
+    requests: int = 0
+    finished: int = 0
+    cancelled: int = 0
+    shed: int = 0
+    reports: int = 0
+    most_in_flight: int = 0
+    most_cold: int = 0
+    overloads: int = 0
+    last_at: float = 0.0
+
+
+class UpstreamStandIn:
+    """One upstream."""
+
+    def __init__(self, name: str, rules: Rules, seed: int) -> None:
+        self.name = name
+        self.rules = rules
+        self.rng = random.Random(f"{seed}-{name}")
+        self.clock = Clock()
+        self.start = f"{name}-{self.rng.getrandbits(32):08x}"
+        self.faults = Faults()
+        self.seen = Seen()
+        self.running: set[int] = set()
+        self.jobs: dict[int, Job] = {}
+        self.queue: deque[Job] = deque()
+        self.leaving = False
+        self.work_left = rules.cold_work
+        self.fallen_until = 0.0
+        self.stalled_until = 0.0
+        self.next_stall = self._draw_stall(self.clock.now())
+        self.before = b""
+        self.server: asyncio.Server | None = None
+
+    @property
+    def cold(self) -> bool:
+        """Whether it bears only a little."""
+        return self.work_left > 0
+
+    def in_flight(self) -> int:
+        """Return requests taken in and not over."""
+        return len(self.running) + len(self.queue)
+
+    def turn_cold(self, restart: bool) -> None:
+        """Begin a cold start, without a word unless it is a restart."""
+        self.work_left = max(1, self.rules.cold_work)
+        if restart:
+            self.start = f"{self.name}-{self.rng.getrandbits(32):08x}"
+
+    def take(self, job: Job) -> None:
+        """Take a request in."""
+        self.seen.requests += 1
+        self.seen.last_at = self.clock.wall()
+        full = len(self.queue) >= self.rules.queue_most
+        if self.faults.shed or self.leaving or full:
+            self.seen.shed += 1
+            self._shed(job)
+            return
+        self.queue.append(job)
+        self.seen.most_in_flight = max(
+            self.seen.most_in_flight, self.in_flight()
+        )
+        if self.cold:
+            self._bear_cold()
+        self._start_next()
+
+    def cancel(self, job: Job) -> None:
+        """Stop a request whose caller went away."""
+        job.cancelled = True
+        if job in self.queue:
+            self.queue.remove(job)
+            self.seen.cancelled += 1
+        elif id(job) in self.running:
+            self.seen.cancelled += 1
+            if job.timer is not None:
+                job.timer.cancel()
+            self._end(job)
+
+    def report(self) -> bytes:
+        """Return the load report."""
+        self.seen.reports += 1
+        return json.dumps(
+            {
+                "start": self.start,
+                "in_flight": self.in_flight(),
+                "leaving": self.leaving,
+            }
+        ).encode()
+
+    # Inside
+
+    def _bear_cold(self) -> None:
+        self.seen.most_cold = max(self.seen.most_cold, self.in_flight())
+        if self.in_flight() > self.rules.cold_bears:
+            self.seen.overloads += 1
+            self.fallen_until = self.clock.now() + 1_000.0
+
+    def _start_next(self) -> None:
+        while self.queue and len(self.running) < self.rules.slots:
+            job = self.queue.popleft()
+            self.running.add(id(job))
+            self.jobs[id(job)] = job
+            job.running = True
+            self.seen.ran[job.identity] += 1
+            if job.key:
+                self.seen.keys[job.key] += 1
+            loop = asyncio.get_running_loop()
+            job.timer = loop.call_later(
+                seconds(self._work_ms(job)), self._finish, job
+            )
+
+    def _work_ms(self, job: Job) -> float:
+        now = self.clock.now()
+        query = urllib.parse.parse_qs(job.query)
+        if "work_ms" in query:
+            work = float(query["work_ms"][0])
+        else:
+            work = self.rules.work_ms
+            if self.rules.sigma:
+                mu = -(self.rules.sigma**2) / 2
+                work *= self.rng.lognormvariate(mu, self.rules.sigma)
+        if self._stalled(now):
+            work *= STALL_FACTOR
+        if self.cold:
+            work *= 1.0 + (COLD_FACTOR - 1.0) * (
+                self.work_left / max(1, self.rules.cold_work)
+            )
+        if now < self.fallen_until:
+            work += 1_000.0
+        return work
+
+    def _draw_stall(self, now: float) -> float:
+        every = self.rules.stall_every_ms
+        return now + self.rng.expovariate(1 / every) if every else 1e18
+
+    def _stalled(self, now: float) -> bool:
+        while now >= self.next_stall:
+            length = self.rng.uniform(*STALL_MS)
+            self.stalled_until = self.next_stall + length
+            self.next_stall = self._draw_stall(self.stalled_until)
+        return now < self.stalled_until
+
+    def _finish(self, job: Job) -> None:
+        self.seen.finished += 1
+        if self.work_left > 0:
+            self.work_left -= 1
+        self._end(job)
+        if self.faults.late_ms:
+            asyncio.get_running_loop().call_later(
+                seconds(self.faults.late_ms), self._answer, job
+            )
+        else:
+            self._answer(job)
+
+    def _end(self, job: Job) -> None:
+        self.running.discard(id(job))
+        self.jobs.pop(id(job), None)
+        self._start_next()
+
+    def _shed(self, job: Job) -> None:
+        headers = {
+            names.NOT_RUN: "1",
+            names.START: self.start,
+            names.REQUEST_ID: job.identity,
+        }
+        if self.leaving:
+            headers[names.LEAVING] = "1"
+        job.connection.reply(job, 503, headers, b"")
+
+    def _answer(self, job: Job) -> None:
+        if job.cancelled:
+            return
+        if self.faults.drop:
+            job.connection.close()
+            return
+        headers = {
+            names.START: self.start,
+            names.REQUEST_ID: job.identity,
+            "Content-Type": "application/json",
+        }
+        if self.leaving:
+            headers[names.LEAVING] = "1"
+        if self.faults.wrong_identity:
+            headers[names.REQUEST_ID] = "0" * 16
+        if "/file/" in job.path:
+            self._answer_file(job, headers)
+            return
+        body = json.dumps(
+            {
+                "upstream": self.name,
+                "method": job.method,
+                "path": job.path,
+                "id": job.identity,
+                "size": len(job.body),
+                "key": job.key,
+                "headers": job.headers,
+            }
+        ).encode()
+        body, self.before = (
+            (self.before if self.faults.cross else body),
+            body,
+        )
+        status = self.faults.refuse_status or 200
+        job.connection.reply(job, status, headers, body)
+
+    def _answer_file(self, job: Job, headers: Headers) -> None:
+        size = int(job.path.rsplit("/", 1)[1])
+        headers["ETag"] = FILE_ETAG
+        headers["Accept-Ranges"] = "bytes"
+        first = 0
+        status = 200
+        wanted = job.headers.get("range", "")
+        if wanted.startswith("bytes=") and wanted.endswith("-"):
+            first = int(wanted[6:-1])
+            status = 206
+            headers["Content-Range"] = f"bytes {first}-{size - 1}/{size}"
+        job.connection.reply(
+            job, status, headers, file_bytes(first, size), is_file=True
+        )
+
+
+def file_bytes(first: int, end: int) -> bytes:
+    """Return a part of a file whose every byte depends on its place."""
+    pattern = bytes((i * 7 + i // 251) % 256 for i in range(251 * 16))
+    period = len(pattern)
+    repeats = (end - first) // period + 2
+    shift = first % period
+    return (pattern * repeats)[shift : shift + end - first]
+
+
+class Connection(asyncio.Protocol):
+    """HTTP/1.1 as a small server speaks it."""
+
+    def __init__(self, upstream: UpstreamStandIn) -> None:
+        self.upstream = upstream
+        self.parser = httptools.HttpRequestParser(self)
+        self.transport: Any = None
+        self.job: Job | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel what runs for this caller."""
+        if self.job is not None:
+            self.upstream.cancel(self.job)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.transport.close()
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self.url = b""
+        self.headers: Headers = {}
+        self.body: list[bytes] = []
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target."""
+        self.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self.headers[name.decode().lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        """Collect the body."""
+        self.body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Serve the request."""
+        url = httptools.parse_url(self.url)
+        path = url.path.decode()
+        body = b"".join(self.body)
+        if path == names.REPORT_PATH:
+            self.write(200, {}, self.upstream.report())
+        elif path.startswith("/control/"):
+            self._control(path, body)
+        else:
+            self._take(path, (url.query or b"").decode(), body)
+
+    def reply(
+        self,
+        job: Job,
+        status: int,
+        headers: Headers,
+        body: bytes,
+        is_file: bool = False,
+    ) -> None:
+        """Answer a request, with the faults that are switched on."""
+        if self.job is job:
+            self.job = None
+        faults = self.upstream.faults
+        cut = faults.file_cut_at if is_file else -1
+        bare = job.method == "HEAD"
+        self.write(status, headers, body, cut, bare, faults)
+
+    def write(
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes,
+        body_cut: int = -1,
+        bare: bool = False,
+        faults: Faults | None = None,
+    ) -> None:
+        """Write an answer."""
+        faults = faults or Faults()
+        lines = [f"HTTP/1.1 {status} X"]
+        lines += [f"{n}: {v}" for n, v in headers.items()]
+        if not faults.no_length:
+            lines.append(f"Content-Length: {len(body)}")
+        head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+        sent = b"" if bare else body
+        if 0 <= body_cut < len(sent):
+            self.transport.write(head + sent[:body_cut])
+            self.transport.close()
+            return
+        raw = head + sent
+        if faults.duplicate:
+            raw += raw
+        if faults.truncate_at >= 0:
+            self.transport.write(raw[: faults.truncate_at])
+            self.transport.close()
+            return
+        self.transport.write(raw)
+        if faults.no_length:
+            self.transport.close()
+
+    def close(self) -> None:
+        """Close the connection without an answer."""
+        self.job = None
+        self.transport.close()
+
+    def _take(self, path: str, query: str, body: bytes) -> None:
+        job = Job(
+            self.headers.get(names.REQUEST_ID.lower(), ""),
+            self.headers.get("idempotency-key", ""),
+            self.parser.get_method().decode(),
+            path,
+            query,
+            self.headers,
+            body,
+            self,
+            True,
+        )
+        self.job = job
+        self.upstream.take(job)
+
+    def _control(self, path: str, body: bytes) -> None:
+        upstream = self.upstream
+        answer: Any = {}
+        if path == "/control/faults":
+            upstream.faults = Faults(**json.loads(body))
+        elif path == "/control/cold":
+            upstream.turn_cold(json.loads(body)["restart"])
+        elif path == "/control/leave":
+            upstream.leaving = True
+        elif path == "/control/seen":
+            answer = asdict(upstream.seen)
+            answer["in_flight"] = upstream.in_flight()
+            answer["cold"] = upstream.cold
+        self.write(200, {}, json.dumps(answer).encode())
+
+
+async def serve(arguments: argparse.Namespace) -> None:
+    """Serve until SIGTERM, then leave gracefully."""
+    rules = Rules(
+        arguments.slots,
+        arguments.queue_most,
+        arguments.cold_work,
+        arguments.cold_bears,
+        arguments.work_ms,
+        arguments.sigma,
+        arguments.stall_every_ms,
+    )
+    loop = asyncio.get_running_loop()
+    upstreams: list[UpstreamStandIn] = []
+    listed: dict[str, str] = {}
+    for name in arguments.names:
+        upstream = UpstreamStandIn(name, rules, arguments.seed)
+        sock = bind(arguments.address)
+        listed[name] = address_of(sock)
+        upstream.server = await loop.create_server(
+            functools.partial(Connection, upstream), sock=sock
+        )
+        upstreams.append(upstream)
+    stop = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    print(json.dumps(listed), flush=True)
+    await stop.wait()
+    for upstream in upstreams:
+        upstream.leaving = True
+    while any(u.in_flight() for u in upstreams):  # noqa: ASYNC110
+        await asyncio.sleep(seconds(10.0))
+    await asyncio.sleep(seconds(arguments.linger_ms))
+
+
+def main() -> None:
+    """Read the arguments and serve."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("names", nargs="+")
+    parser.add_argument("--address", default="127.0.0.1:0")
+    parser.add_argument("--slots", type=int, default=4)
+    parser.add_argument("--queue-most", type=int, default=64)
+    parser.add_argument("--cold-work", type=int, default=0)
+    parser.add_argument("--cold-bears", type=int, default=1)
+    parser.add_argument("--work-ms", type=float, default=10.0)
+    parser.add_argument("--sigma", type=float, default=0.0)
+    parser.add_argument("--stall-every-ms", type=float, default=0.0)
+    parser.add_argument("--linger-ms", type=float, default=1000.0)
+    parser.add_argument("--seed", type=int, default=1)
+    uvloop.run(serve(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers for those who work on the project."""
--- /dev/null
+++ b/wigeongw/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Libraries behind the ports, and twins of them in memory."""
--- /dev/null
+++ b/wigeongw/adapters/http_server.py
@@ -0,0 +1,155 @@
+"""Runs ASGI applications on uvicorn inside a running event loop.
+
+The protocol class adds what a server without a balancer before it needs: a
+limit on the size of a request's head and on the time it may take.
+"""
+
+import asyncio
+from collections.abc import Generator
+import contextlib
+import logging
+import socket
+from typing import Any
+
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from wigeongw.adapters.peer_grpc import split_address
+from wigeongw.core.clock import seconds
+
+HEAD_MOST_BYTES = 65_536
+HEAD_MOST_MS = 10_000.0
+KEEP_ALIVE_S = 75
+BACKLOG = 2048
+TOO_LARGE = "The head of the request is too large"
+
+
+class BoundedProtocol(HttpToolsProtocol):
+    """HTTP/1.1 with bounds on the head of a request."""
+
+    head_bytes = 0
+    in_head = True
+    head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(  # type: ignore[override]
+        self, transport: asyncio.Transport
+    ) -> None:
+        """Begin to time the first head."""
+        super().connection_made(transport)
+        self._time_head()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop timing."""
+        self._stop_timing()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse, and count what belongs to a head."""
+        super().data_received(data)
+        if not self.in_head:
+            return
+        self.head_bytes += len(data)
+        if self.head_bytes > HEAD_MOST_BYTES:
+            self._refuse()
+
+    def on_message_begin(self) -> None:
+        """Begin to count and time a head."""
+        self.in_head = True
+        self.head_bytes = 0
+        if self.head_timer is None:
+            self._time_head()
+        super().on_message_begin()
+
+    def on_headers_complete(self) -> None:
+        """Check the size that whole headers add up to."""
+        self._stop_timing()
+        self.in_head = False
+        size = len(self.url) + sum(
+            len(name) + len(value) for name, value in self.headers
+        )
+        if size > HEAD_MOST_BYTES:
+            self._refuse()
+            return
+        super().on_headers_complete()
+
+    def _refuse(self) -> None:
+        if self.transport.is_closing():
+            return
+        body = TOO_LARGE.encode()
+        self.transport.write(
+            b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+            b"content-type: text/plain; charset=utf-8\r\n"
+            b"wigeongw-outcome: not-run\r\n"
+            b"content-length: " + str(len(body)).encode() + b"\r\n"
+            b"connection: close\r\n\r\n" + body
+        )
+        self.transport.close()
+
+    def _time_head(self) -> None:
+        self.head_timer = self.loop.call_later(
+            seconds(HEAD_MOST_MS), self._head_too_slow
+        )
+
+    def _stop_timing(self) -> None:
+        if self.head_timer is not None:
+            self.head_timer.cancel()
+            self.head_timer = None
+
+    def _head_too_slow(self) -> None:
+        self.head_timer = None
+        if not self.transport.is_closing():
+            self.transport.close()
+
+
+class EmbeddedServer(uvicorn.Server):
+    """A server that leaves signals to the program around it."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Generator[None, None, None]:
+        """Capture nothing."""
+        yield
+
+
+def bind(address: str) -> socket.socket:
+    """Open a listening socket.
+
+    Raises:
+        OSError: when the address cannot be had.
+    """
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((host, port))
+        sock.listen(BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    sock.setblocking(False)
+    return sock
+
+
+def address_of(sock: socket.socket) -> str:
+    """Return ``ip:port`` of a bound socket."""
+    host, port = sock.getsockname()[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+def build(app: Any) -> EmbeddedServer:
+    """Build a server for an ASGI application."""
+    logging.getLogger("uvicorn").setLevel(logging.CRITICAL + 1)
+    config = uvicorn.Config(
+        app,
+        http=BoundedProtocol,
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        date_header=False,
+        server_header=False,
+        proxy_headers=False,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        backlog=BACKLOG,
+    )
+    return EmbeddedServer(config)
--- /dev/null
+++ b/wigeongw/adapters/peer_codec.py
@@ -0,0 +1,245 @@
+"""Turns messages between entry hosts into protobuf and back."""
+
+from collections.abc import Sequence
+
+from wigeongw.adapters.peer_pb import peer_pb2 as pb
+from wigeongw.core.records import Revision
+from wigeongw.decisions.fence import Fence
+from wigeongw.decisions.grantor import UpstreamView
+from wigeongw.decisions.messages import Ask
+from wigeongw.decisions.messages import Cancel
+from wigeongw.decisions.messages import Grant
+from wigeongw.decisions.messages import GrantorMessage
+from wigeongw.decisions.messages import HeldPermit
+from wigeongw.decisions.messages import HolderMessage
+from wigeongw.decisions.messages import Pressure
+from wigeongw.decisions.messages import Register
+from wigeongw.decisions.messages import Renew
+from wigeongw.decisions.messages import Renewed
+from wigeongw.decisions.messages import Return
+from wigeongw.decisions.messages import Revoke
+from wigeongw.decisions.messages import Verdict
+from wigeongw.ports.errors import PeerError
+from wigeongw.ports.peers import Heartbeat
+
+WARM = "warm"
+COLD = "cold"
+
+
+def holder_batch(
+    host: str,
+    messages: Sequence[HolderMessage],
+    beat: Heartbeat | None,
+    now: float,
+) -> pb.HolderBatch:
+    """Pack what a holder says, in order within each kind."""
+    batch = pb.HolderBatch(host=host)
+    if beat is not None:
+        batch.heartbeat.CopyFrom(_pack_heartbeat(beat, now))
+    for message in messages:
+        _pack_holder(batch, message)
+    return batch
+
+
+def holder_messages(batch: pb.HolderBatch) -> list[HolderMessage]:
+    """Unpack what a holder says.
+
+    Registers come first and asks last, so that what a grantor frees by a
+    return is there for the asks of the same batch.
+
+    Raises:
+        PeerError: when a field makes no sense.
+    """
+    out: list[HolderMessage] = []
+    for item in batch.registers:
+        held = tuple(
+            HeldPermit(p.permit, p.upstream, p.ends_in_ms)
+            for p in item.permits
+        )
+        out.append(Register(item.pool, held))
+    for item in batch.renews:
+        out.append(Renew(item.pool, item.serial, tuple(item.permits)))
+    for item in batch.returns:
+        out.append(_unpack_return(item))
+    for item in batch.asks:
+        out.append(
+            Ask(
+                item.pool,
+                item.number,
+                item.ends_in_ms,
+                tuple(item.avoid),
+                item.replaces,
+            )
+        )
+    for item in batch.cancels:
+        out.append(Cancel(item.pool, item.number))
+    return out
+
+
+def grantor_batch(messages: Sequence[GrantorMessage]) -> pb.GrantorBatch:
+    """Pack what a grantor says."""
+    batch = pb.GrantorBatch()
+    for message in messages:
+        _pack_grantor(batch, message)
+    return batch
+
+
+def grantor_messages(batch: pb.GrantorBatch) -> list[GrantorMessage]:
+    """Unpack what a grantor says.
+
+    Revocations come last, so that one voids grants of its own batch too.
+    """
+    out: list[GrantorMessage] = []
+    out.extend(
+        Grant(i.pool, i.number, i.permit, i.upstream, i.cold)
+        for i in batch.grants
+    )
+    out.extend(
+        Renewed(i.pool, i.serial, tuple(i.permits)) for i in batch.reneweds
+    )
+    out.extend(Pressure(i.pool) for i in batch.pressures)
+    out.extend(Revoke(i.pool, i.upstream) for i in batch.revokes)
+    return out
+
+
+def heartbeat_of(beat: pb.Heartbeat, now: float) -> Heartbeat:
+    """Unpack a heartbeat; ages become times on this host's clock."""
+    return Heartbeat(
+        beat.host,
+        beat.revision,
+        beat.leaving,
+        beat.store_silent_ms,
+        tuple(
+            UpstreamView(
+                u.pool,
+                u.upstream,
+                u.state == WARM,
+                u.limit,
+                u.start,
+                now - u.seen_ago_ms,
+            )
+            for u in beat.upstreams
+        ),
+        tuple(beat.leaving_upstreams),
+        tuple(Fence(f.pool, f.host, f.epoch) for f in beat.fences),
+    )
+
+
+def pack_revision(revision: Revision) -> pb.Revision:
+    """Pack a settings revision."""
+    return pb.Revision(
+        number=revision.number,
+        text=revision.text,
+        who=revision.who,
+        why=revision.why,
+        at_ms=revision.at_ms,
+        before=revision.before,
+        digest=revision.digest,
+    )
+
+
+def unpack_revision(message: pb.Revision) -> Revision:
+    """Unpack a settings revision."""
+    return Revision(
+        message.number,
+        message.text,
+        message.who,
+        message.why,
+        message.at_ms,
+        message.before,
+        message.digest,
+    )
+
+
+def _pack_heartbeat(beat: Heartbeat, now: float) -> pb.Heartbeat:
+    """Pack a heartbeat; times become ages, for clocks differ."""
+    return pb.Heartbeat(
+        host=beat.host,
+        revision=beat.revision,
+        leaving=beat.leaving,
+        store_silent_ms=beat.store_silent_ms,
+        upstreams=[
+            pb.UpstreamState(
+                pool=u.pool,
+                upstream=u.upstream,
+                state=WARM if u.warm else COLD,
+                limit=u.limit,
+                start=u.start,
+                seen_ago_ms=now - u.seen_at,
+            )
+            for u in beat.upstreams
+        ],
+        leaving_upstreams=beat.leaving_upstreams,
+        fences=[
+            pb.Fence(pool=f.pool, host=f.host, epoch=f.epoch)
+            for f in beat.fences
+        ],
+    )
+
+
+def _pack_holder(batch: pb.HolderBatch, message: HolderMessage) -> None:
+    if isinstance(message, Ask):
+        batch.asks.add(
+            pool=message.pool,
+            number=message.number,
+            ends_in_ms=message.ends_in_ms,
+            avoid=message.avoid,
+            replaces=message.replaces,
+        )
+    elif isinstance(message, Return):
+        batch.returns.add(
+            pool=message.pool,
+            permit=message.permit,
+            upstream=message.upstream,
+            verdict=int(message.verdict),
+            served_ms=message.served_ms,
+            start=message.start,
+        )
+    elif isinstance(message, Cancel):
+        batch.cancels.add(pool=message.pool, number=message.number)
+    elif isinstance(message, Renew):
+        batch.renews.add(
+            pool=message.pool, serial=message.serial, permits=message.permits
+        )
+    else:
+        register = batch.registers.add(pool=message.pool)
+        for held in message.permits:
+            register.permits.add(
+                permit=held.permit,
+                upstream=held.upstream,
+                ends_in_ms=held.ends_in_ms,
+            )
+
+
+def _pack_grantor(batch: pb.GrantorBatch, message: GrantorMessage) -> None:
+    if isinstance(message, Grant):
+        batch.grants.add(
+            pool=message.pool,
+            number=message.number,
+            permit=message.permit,
+            upstream=message.upstream,
+            cold=message.cold,
+        )
+    elif isinstance(message, Pressure):
+        batch.pressures.add(pool=message.pool)
+    elif isinstance(message, Revoke):
+        batch.revokes.add(pool=message.pool, upstream=message.upstream)
+    else:
+        batch.reneweds.add(
+            pool=message.pool, serial=message.serial, permits=message.permits
+        )
+
+
+def _unpack_return(item: pb.Return) -> Return:
+    try:
+        verdict = Verdict(item.verdict)
+    except ValueError as error:
+        raise PeerError(f"unknown verdict {item.verdict}") from error
+    return Return(
+        item.pool,
+        item.permit,
+        item.upstream,
+        verdict,
+        item.served_ms,
+        item.start,
+    )
--- /dev/null
+++ b/wigeongw/adapters/peer_pb/__init__.py
@@ -0,0 +1,1 @@
+"""Generated messages and stubs between entry hosts."""
--- /dev/null
+++ b/wigeongw/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: thin programs over the library."""
--- /dev/null
+++ b/wigeongw/commands/serve.py
@@ -0,0 +1,74 @@
+"""``wigeongw serve``: the daemon of an entry host."""
+
+import asyncio
+from contextlib import AsyncExitStack
+import pathlib
+import random
+import signal
+import sys
+from typing import Annotated
+
+import aiohttp
+import logbook
+import typer
+import uvloop
+
+from wigeongw.adapters.etcd_store import EtcdStore
+from wigeongw.adapters.host_list import HttpHostList
+from wigeongw.commands.exits import BAD_INPUT
+from wigeongw.commands.exits import CANNOT_LISTEN
+from wigeongw.core.clock import Clock
+from wigeongw.daemon import record
+from wigeongw.daemon.entry_host import EntryHostDaemon
+from wigeongw.daemon.entry_host import Platform
+from wigeongw.settings import check
+from wigeongw.settings import document
+from wigeongw.settings.errors import SettingsError
+from wigeongw.settings.model import HostSettings
+
+log = logbook.Logger("host")
+
+
+def serve(
+    host_settings: Annotated[
+        pathlib.Path,
+        typer.Option(help="TOML file with this entry host's addresses."),
+    ],
+) -> None:
+    """Run an entry host until SIGTERM, then stop gracefully.
+
+    Exit codes: 0 after a graceful stop, 2 for mistakes in the settings file,
+    3 when an address cannot be listened on.
+    """
+    try:
+        settings = check.host_settings(document.read(host_settings))
+    except SettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(BAD_INPUT) from error
+    try:
+        uvloop.run(_serve(settings))
+    except OSError as error:
+        typer.echo(f"{host_settings}: cannot listen: {error}", err=True)
+        raise typer.Exit(CANNOT_LISTEN) from error
+
+
+async def _serve(settings: HostSettings) -> None:
+    async with AsyncExitStack() as stack:
+        stack.enter_context(record.parts_handler().applicationbound())
+        stream = sys.stdout
+        if settings.record_file != "-":
+            path = pathlib.Path(settings.record_file)
+            stream = stack.enter_context(path.open("a"))  # noqa: ASYNC230
+        stack.enter_context(record.handler_for(stream).applicationbound())
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        platform = Platform(
+            EtcdStore(session, settings.store),
+            HttpHostList(session, settings.host_list),
+        )
+        daemon = EntryHostDaemon(
+            settings, platform, Clock(), random.SystemRandom()
+        )
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, daemon.request_stop)
+        await daemon.run()
--- /dev/null
+++ b/wigeongw/core/__init__.py
@@ -0,0 +1,1 @@
+"""Records, time and identifiers that every other part rests on."""
--- /dev/null
+++ b/wigeongw/decisions/holder.py
@@ -0,0 +1,564 @@
+"""Permits as their holder sees them, for one service.
+
+Requests wait here, in one line, until a permit comes. Unused permits are kept
+for the next request until the grantor says that others wait; then they go
+back at once. What a grantor sent is valid from when this entry host *asked*,
+so an answer that took too long is void on arrival.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+
+from wigeongw.decisions.messages import Ask
+from wigeongw.decisions.messages import Cancel
+from wigeongw.decisions.messages import Grant
+from wigeongw.decisions.messages import GrantorMessage
+from wigeongw.decisions.messages import HeldPermit
+from wigeongw.decisions.messages import Pressure
+from wigeongw.decisions.messages import Register
+from wigeongw.decisions.messages import Renew
+from wigeongw.decisions.messages import Renewed
+from wigeongw.decisions.messages import Return
+from wigeongw.decisions.messages import Revoke
+from wigeongw.decisions.messages import ToGrantor
+from wigeongw.decisions.messages import Verdict
+from wigeongw.decisions.sharing import Effect
+from wigeongw.decisions.sharing import Held
+from wigeongw.decisions.sharing import PoolView
+from wigeongw.decisions.sharing import Refusal
+from wigeongw.decisions.sharing import Refuse
+from wigeongw.decisions.sharing import sharing
+from wigeongw.decisions.sharing import SharingConfig
+from wigeongw.decisions.sharing import Start
+from wigeongw.decisions.sharing import Wanted
+
+SERIAL_BITS = 32
+PRESSURE_LASTS_MS = 20.0
+IDLE_MOST_MS = 3_000.0
+REPORT_EVERY_MS = 50.0
+RENEWALS_PER_LIFETIME = 3.0
+WAIT_WEIGHT = 0.1
+LATENCY_WEIGHT = 0.1
+FIRST_WAIT_MS = 0.5
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A request in line."""
+
+    wanted: Wanted
+    since: float
+    pools: set[str] = field(default_factory=set)
+
+
+@dataclass(frozen=True, slots=True)
+class AskSent:
+    """An ask that has not been answered."""
+
+    asked_at: float
+    ends_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Idle:
+    """A permit that no request uses."""
+
+    held: Held
+    since: float
+
+
+@dataclass(frozen=True, slots=True)
+class Busy:
+    """A permit that a request uses."""
+
+    held: Held
+    ends_at: float
+    is_floor: bool
+
+
+@dataclass(slots=True)
+class Pool:
+    """What is held and asked for in one pool."""
+
+    view: PoolView
+    idle: list[Idle] = field(default_factory=list)
+    asks: dict[int, AskSent] = field(default_factory=dict)
+    renewals: dict[int, float] = field(default_factory=dict)
+    pressed_until: float = float("-inf")
+    renewed_at: float = float("-inf")
+    wait_ms: float = FIRST_WAIT_MS
+
+    def pressed(self, now: float) -> bool:
+        """Whether others wait for permits of this pool."""
+        return now < self.pressed_until
+
+
+@sharing("permits")
+class Holder:
+    """Holds permits for one service; every method takes the time in ms."""
+
+    def __init__(self, config: SharingConfig) -> None:
+        self.config = config
+        self.rules = config.rules
+        self.pools: dict[str, Pool] = {}
+        self.waiting: dict[str, Waiting] = {}
+        self.busy: dict[str, Busy] = {}
+        self.latency: dict[str, float] = {}
+        self.reported: dict[str, float] = {}
+        self.serial = config.incarnation << SERIAL_BITS
+
+    # What the daemon calls
+
+    def set_view(self, pools: Sequence[PoolView], now: float) -> list[Effect]:
+        """Take in the pools of the service, nearest first."""
+        before = self.pools
+        self.pools = {}
+        out: list[Effect] = []
+        for view in pools:
+            pool = before.get(view.pool) or Pool(replace(view, grantor=None))
+            old, pool.view = pool.view, view
+            self.pools[view.pool] = pool
+            if view.grantor != old.grantor:
+                out.extend(self._new_grantor(pool, now))
+            pool.idle = [i for i in pool.idle if self._usable(i.held, now)]
+        out.extend(self._serve(now))
+        return out
+
+    def want(self, wanted: Wanted, now: float) -> list[Effect]:
+        """Find an upstream for a request, now or later."""
+        if not any(self._has_upstream(p) for p in self.pools.values()):
+            return [Refuse(wanted.request, Refusal.NO_UPSTREAM)]
+        if len(self.waiting) >= self.config.queue_most:
+            return [Refuse(wanted.request, Refusal.QUEUE_FULL)]
+        if now >= wanted.ends_at:
+            return [Refuse(wanted.request, Refusal.DEADLINE)]
+        if not self.waiting:
+            held = self._take_idle(wanted, now)
+            if held is not None:
+                return [self._start(wanted, held)]
+        waiting = Waiting(wanted, now)
+        self.waiting[wanted.request] = waiting
+        out = self._serve_floor(now)
+        if wanted.request in self.waiting:
+            out.extend(self._ask_near(waiting, now))
+        return out
+
+    def abandon(self, request: str, now: float) -> list[Effect]:
+        """Forget a request that waits."""
+        if self.waiting.pop(request, None) is None:
+            return []
+        return self._trim_asks()
+
+    def done(
+        self,
+        request: str,
+        verdict: Verdict,
+        served_ms: float,
+        start: str,
+        now: float,
+    ) -> list[Effect]:
+        """Take in that a started request is over."""
+        busy = self.busy.pop(request, None)
+        if busy is None:
+            return []
+        held = busy.held
+        if verdict is Verdict.GOOD:
+            self._note_latency(held.upstream, served_ms)
+        pool = self.pools.get(held.pool)
+        if pool is None:
+            return []
+        back = Return(
+            held.pool, held.number, held.upstream, verdict, served_ms, start
+        )
+        out = self._after_use(pool, busy, back, now)
+        return out + self._serve_floor(now)
+
+    def heard(
+        self, host: str, message: GrantorMessage, now: float
+    ) -> list[Effect]:
+        """Take in a grantor's message, if it is still the grantor."""
+        pool = self.pools.get(message.pool)
+        if pool is None or pool.view.grantor != host:
+            return []
+        if isinstance(message, Grant):
+            return self._granted(pool, message, now)
+        if isinstance(message, Pressure):
+            pool.pressed_until = now + PRESSURE_LASTS_MS
+            return self._return_idle(pool)
+        if isinstance(message, Revoke):
+            return self._revoked(pool, message)
+        if isinstance(message, Renewed):
+            self._renewed(pool, message)
+        return []
+
+    def tick(self, now: float) -> list[Effect]:
+        """Refuse what is too late, spill over, renew and drop."""
+        out: list[Effect] = []
+        for request in [
+            r for r, w in self.waiting.items() if now >= w.wanted.ends_at
+        ]:
+            del self.waiting[request]
+            out.append(Refuse(request, Refusal.DEADLINE))
+        if out:
+            out.extend(self._trim_asks())
+        for pool in self.pools.values():
+            out.extend(self._upkeep(pool, now))
+        out.extend(self._serve(now))
+        return out
+
+    def waiting_count(self) -> int:
+        """Return how many requests wait."""
+        return len(self.waiting)
+
+    # Asking
+
+    def _ask_near(self, waiting: Waiting, now: float) -> list[Effect]:
+        """Ask the nearest pool, and farther ones that are worth the way."""
+        able = [p for p in self.pools.values() if self._can_ask(p)]
+        if not able:
+            return []
+        nearest = able[0]
+        waited = now - waiting.since
+        out: list[Effect] = []
+        for pool in able:
+            if pool.view.pool in waiting.pools:
+                continue
+            farther = pool.view.round_trip_ms - nearest.view.round_trip_ms
+            worth = pool is nearest or waited >= (
+                self.rules.spill_ms + farther
+            )
+            if not worth and nearest.pressed(now):
+                worth = nearest.wait_ms >= farther
+            if worth:
+                out.append(self._ask(pool, waiting, now))
+        return out
+
+    def _ask(
+        self, pool: Pool, waiting: Waiting, now: float, replaces: int = 0
+    ) -> Effect:
+        self.serial += 1
+        waiting.pools.add(pool.view.pool)
+        wanted = waiting.wanted
+        pool.asks[self.serial] = AskSent(now, wanted.ends_at)
+        ask = Ask(
+            pool.view.pool,
+            self.serial,
+            wanted.ends_at - now,
+            wanted.avoid,
+            replaces,
+        )
+        return self._to_grantor(pool, ask)
+
+    def _trim_asks(self) -> list[Effect]:
+        """Take back asks in excess of the requests that wait."""
+        out: list[Effect] = []
+        for pool in self.pools.values():
+            while len(pool.asks) > len(self.waiting):
+                number, _ = pool.asks.popitem()
+                cancel = Cancel(pool.view.pool, number)
+                out.append(self._to_grantor(pool, cancel))
+        return out
+
+    def _new_grantor(self, pool: Pool, now: float) -> list[Effect]:
+        """Start over with another grantor: old idle permits are void."""
+        pool.idle.clear()
+        pool.asks.clear()
+        pool.renewals.clear()
+        for waiting in self.waiting.values():
+            waiting.pools.discard(pool.view.pool)
+        if pool.view.grantor is None:
+            return []
+        held = tuple(
+            HeldPermit(b.held.number, b.held.upstream, b.ends_at - now)
+            for b in self.busy.values()
+            if b.held.pool == pool.view.pool
+        )
+        return [self._to_grantor(pool, Register(pool.view.pool, held))]
+
+    # Receiving
+
+    def _granted(self, pool: Pool, grant: Grant, now: float) -> list[Effect]:
+        sent = pool.asks.pop(grant.number, None)
+        valid_until = float("-inf")
+        ends_by = float("-inf")
+        if sent is not None:
+            valid_until = sent.asked_at + self.rules.lifetime_ms
+            ends_by = sent.ends_at
+            pool.wait_ms += WAIT_WEIGHT * (now - sent.asked_at - pool.wait_ms)
+        held = Held(
+            grant.permit,
+            pool.view.pool,
+            grant.upstream,
+            grant.cold,
+            valid_until,
+            ends_by,
+        )
+        if not self._usable(held, now):
+            back = Return(held.pool, held.number, held.upstream)
+            return [
+                self._to_grantor(pool, back),
+                *self._ask_again(pool, now),
+            ]
+        return self._use_or_keep(pool, held, now)
+
+    def _ask_again(self, pool: Pool, now: float) -> list[Effect]:
+        """Ask anew for the oldest request that a void grant left waiting."""
+        if len(pool.asks) >= len(self.waiting):
+            return []
+        waiting = next(iter(self.waiting.values()))
+        return [self._ask(pool, waiting, now)]
+
+    def _revoked(self, pool: Pool, revoke: Revoke) -> list[Effect]:
+        kept: list[Idle] = []
+        out: list[Effect] = []
+        for idle in pool.idle:
+            if idle.held.upstream != revoke.upstream:
+                kept.append(idle)
+                continue
+            out.append(self._give_back(pool, idle.held))
+        pool.idle = kept
+        for request, busy in self.busy.items():
+            if busy.held.upstream == revoke.upstream:
+                void = replace(busy.held, valid_until=float("-inf"))
+                self.busy[request] = replace(busy, held=void)
+        return out
+
+    def _renewed(self, pool: Pool, renewed: Renewed) -> None:
+        sent_at = pool.renewals.pop(renewed.serial, None)
+        if sent_at is None:
+            return
+        until = sent_at + self.rules.lifetime_ms
+        numbers = set(renewed.permits)
+        pool.idle = [
+            replace(i, held=self._longer(i.held, numbers, until))
+            for i in pool.idle
+        ]
+        for request, busy in self.busy.items():
+            if busy.held.number in numbers:
+                longer = self._longer(busy.held, numbers, until)
+                self.busy[request] = replace(busy, held=longer)
+
+    @staticmethod
+    def _longer(held: Held, numbers: set[int], until: float) -> Held:
+        if held.number not in numbers or held.cold:
+            return held
+        if held.valid_until == float("-inf"):
+            return held
+        return replace(held, valid_until=max(held.valid_until, until))
+
+    # Using
+
+    def _use_or_keep(self, pool: Pool, held: Held, now: float) -> list[Effect]:
+        """Give a permit to the oldest request it fits, keep it, or return."""
+        waiting = self._oldest_fit(held)
+        if waiting is not None:
+            del self.waiting[waiting.wanted.request]
+            start = self._start(waiting.wanted, held)
+            return [start, *self._trim_asks()]
+        if held.cold or pool.pressed(now):
+            return [self._give_back(pool, held)]
+        pool.idle.append(Idle(held, now))
+        return []
+
+    def _oldest_fit(self, held: Held) -> Waiting | None:
+        for waiting in self.waiting.values():
+            wanted = waiting.wanted
+            if held.upstream in wanted.avoid:
+                continue
+            if held.cold and wanted.ends_at > held.ends_by:
+                continue
+            return waiting
+        return None
+
+    def _after_use(
+        self, pool: Pool, busy: Busy, back: Return, now: float
+    ) -> list[Effect]:
+        held = busy.held
+        reusable = (
+            back.verdict is Verdict.GOOD
+            and not busy.is_floor
+            and not held.cold
+            and self._usable(held, now)
+        )
+        if not reusable:
+            if pool.view.grantor is None:
+                return []
+            return [self._to_grantor(pool, back)]
+        out = self._use_or_keep(pool, held, now)
+        returned = any(
+            isinstance(e, ToGrantor) and isinstance(e.message, Return)
+            for e in out
+        )
+        if returned:
+            return [self._to_grantor(pool, back)]
+        return out + self._report(pool, back, now)
+
+    def _report(self, pool: Pool, back: Return, now: float) -> list[Effect]:
+        """Tell the grantor now and then how a kept permit does."""
+        last = self.reported.get(back.upstream, float("-inf"))
+        if now - last < REPORT_EVERY_MS:
+            return []
+        self.reported[back.upstream] = now
+        return [self._to_grantor(pool, replace(back, permit=0))]
+
+    def _take_idle(self, wanted: Wanted, now: float) -> Held | None:
+        """Take the idle permit with the least expected time, if any."""
+        best: tuple[float, Pool, Idle] | None = None
+        nearest = next(iter(self.pools.values()))
+        for pool in self.pools.values():
+            farther = pool.view.round_trip_ms - nearest.view.round_trip_ms
+            if farther > nearest.wait_ms and self._can_ask(nearest):
+                continue
+            for idle in pool.idle:
+                if idle.held.upstream in wanted.avoid:
+                    continue
+                if not self._usable(idle.held, now):
+                    continue
+                cost = self._expected(pool, idle.held.upstream)
+                if best is None or cost < best[0]:
+                    best = (cost, pool, idle)
+        if best is None:
+            return None
+        best[1].idle.remove(best[2])
+        return best[2].held
+
+    def _expected(self, pool: Pool, upstream: str) -> float:
+        mine = sum(b.held.upstream == upstream for b in self.busy.values())
+        share = 1.0 + mine / self.config.slots
+        latency = self.latency.get(upstream, 0.0)
+        return pool.view.round_trip_ms + latency * share
+
+    def _serve(self, now: float) -> list[Effect]:
+        """Start what idle permits and floors allow, and ask for the rest."""
+        out: list[Effect] = []
+        for waiting in list(self.waiting.values()):
+            held = self._take_idle(waiting.wanted, now)
+            if held is None:
+                break
+            del self.waiting[waiting.wanted.request]
+            out.append(self._start(waiting.wanted, held))
+        if out:
+            out.extend(self._trim_asks())
+        out.extend(self._serve_floor(now))
+        for waiting in self.waiting.values():
+            out.extend(self._ask_near(waiting, now))
+        return out
+
+    def _serve_floor(self, now: float) -> list[Effect]:
+        """While cut off from a grantor, use the share kept for that."""
+        if not self.waiting:
+            return []
+        out: list[Effect] = []
+        for pool in self.pools.values():
+            if pool.view.grantor is not None or not pool.view.is_open:
+                continue
+            for upstream in pool.view.floor:
+                out.extend(self._start_on_floor(pool, upstream))
+        if out:
+            out.extend(self._trim_asks())
+        return out
+
+    def _start_on_floor(self, pool: Pool, upstream: str) -> list[Effect]:
+        if any(b.held.upstream == upstream for b in self.busy.values()):
+            return []
+        self.serial += 1
+        forever = float("inf")
+        held = Held(
+            self.serial, pool.view.pool, upstream, False, forever, forever
+        )
+        waiting = self._oldest_fit(held)
+        if waiting is None:
+            return []
+        del self.waiting[waiting.wanted.request]
+        return [self._start(waiting.wanted, held, is_floor=True)]
+
+    def _start(
+        self, wanted: Wanted, held: Held, is_floor: bool = False
+    ) -> Start:
+        self.busy[wanted.request] = Busy(held, wanted.ends_at, is_floor)
+        return Start(wanted.request, held)
+
+    # Keeping
+
+    def _upkeep(self, pool: Pool, now: float) -> list[Effect]:
+        """Return what lies unused and renew the rest, when it is due."""
+        lifetime = self.rules.lifetime_ms
+        if now - pool.renewed_at < lifetime / RENEWALS_PER_LIFETIME:
+            return []
+        pool.renewed_at = now
+        out = self._ask_anew(pool, now)
+        pool.renewals = {
+            s: t for s, t in pool.renewals.items() if now - t < lifetime
+        }
+        if pool.view.grantor is None:
+            pool.idle.clear()
+            return []
+        kept: list[Idle] = []
+        for idle in pool.idle:
+            if not self._usable(idle.held, now):
+                continue
+            if now - idle.since > IDLE_MOST_MS:
+                out.append(self._give_back(pool, idle.held))
+                continue
+            kept.append(idle)
+        pool.idle = kept
+        numbers = [i.held.number for i in kept]
+        numbers += [
+            b.held.number
+            for b in self.busy.values()
+            if b.held.pool == pool.view.pool
+        ]
+        if numbers:
+            self.serial += 1
+            pool.renewals[self.serial] = now
+            renew = Renew(pool.view.pool, self.serial, tuple(numbers))
+            out.append(self._to_grantor(pool, renew))
+        return out
+
+    def _ask_anew(self, pool: Pool, now: float) -> list[Effect]:
+        """Replace asks whose grant would be void, keeping their turn."""
+        if pool.view.grantor is None:
+            return []
+        half = self.rules.lifetime_ms / 2
+        old = [n for n, a in pool.asks.items() if now - a.asked_at >= half]
+        out: list[Effect] = []
+        for number in old:
+            del pool.asks[number]
+        for number, waiting in zip(old, self.waiting.values(), strict=False):
+            out.append(self._ask(pool, waiting, now, replaces=number))
+        return out
+
+    def _return_idle(self, pool: Pool) -> list[Effect]:
+        out = [self._give_back(pool, i.held) for i in pool.idle]
+        pool.idle.clear()
+        return out
+
+    def _give_back(self, pool: Pool, held: Held) -> Effect:
+        back = Return(held.pool, held.number, held.upstream)
+        return self._to_grantor(pool, back)
+
+    def _to_grantor(
+        self, pool: Pool, message: Ask | Cancel | Return | Renew | Register
+    ) -> ToGrantor:
+        return ToGrantor(pool.view.grantor or "", message)
+
+    def _usable(self, held: Held, now: float) -> bool:
+        pool = self.pools.get(held.pool)
+        if pool is None or not pool.view.is_open:
+            return False
+        return now < held.valid_until and (
+            held.upstream in pool.view.upstreams
+        )
+
+    def _can_ask(self, pool: Pool) -> bool:
+        return pool.view.grantor is not None and self._has_upstream(pool)
+
+    @staticmethod
+    def _has_upstream(pool: Pool) -> bool:
+        return pool.view.is_open and bool(pool.view.upstreams)
+
+    def _note_latency(self, upstream: str, served_ms: float) -> None:
+        before = self.latency.get(upstream, served_ms)
+        self.latency[upstream] = before + LATENCY_WEIGHT * (served_ms - before)
--- /dev/null
+++ b/wigeongw/decisions/measuring.py
@@ -0,0 +1,104 @@
+"""The budget for asking upstreams about their load.
+
+The site's budget is divided between the pools that the settings define, and
+only the fenced grantor of a pool spends its part. A fence has one owner at a
+time and a new owner waits longer than the window, so the sum stays within the
+budget whatever anyone believes about membership.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+from wigeongw.core.identity import pool_name
+from wigeongw.settings.model import Settings
+
+WINDOW_MS = 1_000.0
+SETTLE_MS = 10_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """The part of the budget for one pool.
+
+    Attributes:
+        calls: calls in any window.
+        call_bytes: bytes, both ways, that each of them may take.
+    """
+
+    calls: int
+    call_bytes: int
+
+
+def shares(settings: Settings) -> dict[str, Share]:
+    """Divide the budget between all pools, the same on every entry host.
+
+    Args:
+        settings: the revision in force.
+
+    Returns:
+        Pool names with their shares; when the budget does not reach for a
+        call a second each, the first pools by name get one and others none.
+    """
+    pools = sorted(
+        pool_name(service, availability_zone)
+        for service in settings.services
+        for availability_zone in settings.availability_zones
+    )
+    rules = settings.measuring
+    calls = min(rules.calls_per_s, rules.bytes_per_s // rules.call_bytes_most)
+    each, left = divmod(calls, len(pools))
+    return {
+        pool: Share(each + (place < left), rules.call_bytes_most)
+        for place, pool in enumerate(pools)
+    }
+
+
+class Spender:
+    """Spends one pool's share; a call is counted before it is made."""
+
+    def __init__(self, now: float) -> None:
+        self.sent: deque[float] = deque()
+        self.share = Share(0, 0)
+        self.lower: list[tuple[float, Share]] = []
+        self.opens_at = now + WINDOW_MS
+
+    def set_share(self, share: Share, now: float) -> None:
+        """Take in a share; a larger one counts only after a while.
+
+        Entry hosts learn of a revision at different times. Until all have it
+        the smaller of the old and the new share keeps the sum in bounds.
+        """
+        if share == self.share:
+            return
+        self.lower.append((now + SETTLE_MS, self.share))
+        self.share = share
+
+    def restart(self, now: float) -> None:
+        """Wait a window, as after taking a fence over."""
+        self.opens_at = now + WINDOW_MS
+
+    def allowed(self, now: float) -> Share:
+        """Return the share that may be spent at this time."""
+        self.lower = [(t, s) for t, s in self.lower if now < t]
+        standing = [self.share, *(s for _, s in self.lower)]
+        return Share(
+            min(s.calls for s in standing),
+            min(s.call_bytes for s in standing),
+        )
+
+    def take(self, now: float) -> int:
+        """Take the right to one call.
+
+        Args:
+            now: monotonic milliseconds.
+
+        Returns:
+            The bytes that the call may take; 0 when none is allowed.
+        """
+        while self.sent and now - self.sent[0] > WINDOW_MS:
+            self.sent.popleft()
+        share = self.allowed(now)
+        if now < self.opens_at or len(self.sent) >= share.calls:
+            return 0
+        self.sent.append(now)
+        return share.call_bytes
--- /dev/null
+++ b/wigeongw/decisions/site.py
@@ -0,0 +1,221 @@
+"""What one entry host knows of its site, and what follows from it.
+
+The state is replaced as a whole on every piece of news; the functions below
+work out from it who shares out which pool and what each pool can take.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+
+from wigeongw.core.identity import pool_name
+from wigeongw.core.identity import pool_service
+from wigeongw.core.identity import pool_zone
+from wigeongw.core.records import EntryHost
+from wigeongw.core.records import HostListing
+from wigeongw.core.records import HostState
+from wigeongw.core.records import Upstream
+from wigeongw.decisions import fence as fences
+from wigeongw.decisions import membership
+from wigeongw.decisions.fence import Fence
+from wigeongw.decisions.fence import LeaseState
+from wigeongw.decisions.fence import PeerNews
+from wigeongw.decisions.grantor import Takeover
+from wigeongw.decisions.grantor import UpstreamView
+from wigeongw.decisions.membership import Leaving
+from wigeongw.decisions.sharing import PoolView
+from wigeongw.settings.model import Settings
+
+NEVER = float("-inf")
+FIXED = "fixed"
+
+
+@dataclass(frozen=True)
+class Site:
+    """What one entry host knows; times are its monotonic milliseconds.
+
+    Attributes:
+        me: this entry host, as the list would show it.
+        settings: in force; None before the first revision.
+        listing: the last reading of the host list.
+        news: the last heartbeat of each other entry host.
+        gone_hosts: entry hosts that said they leave.
+        links_up: hosts to which the own stream stands.
+        store_heard_at: when the store last answered this host.
+        upstreams: the last word of each upstream's grantor.
+    """
+
+    me: EntryHost
+    settings: Settings | None = None
+    revision: int = 0
+    listing: HostListing = field(default_factory=HostListing)
+    leaving: Leaving = field(default_factory=Leaving)
+    news: Mapping[str, PeerNews] = field(default_factory=dict)
+    gone_hosts: frozenset[str] = frozenset()
+    links_up: frozenset[str] = frozenset()
+    fences: Mapping[str, Fence] = field(default_factory=dict)
+    lease: LeaseState = LeaseState(NEVER, 0.0)
+    store_heard_at: float = NEVER
+    upstreams: Mapping[str, UpstreamView] = field(default_factory=dict)
+
+
+def entry_hosts(site: Site) -> tuple[EntryHost, ...]:
+    """Return all known entry hosts, this one first."""
+    others = (h for h in site.listing.entry_hosts if h.name != site.me.name)
+    return (
+        site.me,
+        *(
+            replace(h, state=HostState.LEAVING)
+            if h.name in site.gone_hosts
+            else h
+            for h in others
+        ),
+    )
+
+
+def reachable(site: Site, now: float) -> tuple[EntryHost, ...]:
+    """Return the entry hosts that were heard lately, this one included."""
+    suspect = site.settings.membership.suspect_ms if site.settings else 0.0
+    heard = {name: n.heard_at for name, n in site.news.items()}
+    return membership.reachable(
+        entry_hosts(site), heard, site.me.name, suspect, now
+    )
+
+
+def pools(site: Site) -> tuple[str, ...]:
+    """Return the names of all pools, in the order of the settings."""
+    if site.settings is None:
+        return ()
+    return tuple(
+        pool_name(service, availability_zone)
+        for service in site.settings.services
+        for availability_zone in site.settings.availability_zones
+    )
+
+
+def is_open(site: Site, pool: str) -> bool:
+    """Whether the pool's availability zone takes new requests."""
+    if site.settings is None:
+        return False
+    zone = site.settings.availability_zones.get(pool_zone(pool))
+    return zone is not None and zone.state == "in"
+
+
+def zones_out(site: Site) -> frozenset[str]:
+    """Return the availability zones that are out of service."""
+    if site.settings is None:
+        return frozenset()
+    zones = site.settings.availability_zones.items()
+    return frozenset(name for name, its in zones if its.state == "out")
+
+
+def upstreams_of(site: Site, pool: str) -> tuple[Upstream, ...]:
+    """Return a pool's upstreams, with those that leave marked."""
+    return membership.upstreams_of(
+        site.listing, site.leaving, pool_service(pool), pool_zone(pool)
+    )
+
+
+def grantor_of(site: Site, pool: str, now: float) -> str | None:
+    """Return whom to ask for permits of a pool, or None while cut off.
+
+    A fence's owner that fell silent keeps the pool until it is suspect, so
+    that a short break does not make two grantors.
+    """
+    near = reachable(site, now)
+    names = {h.name for h in near}
+    fence = site.fences.get(pool)
+    if fence is not None and fence.host in names:
+        chosen: str | None = fence.host
+    else:
+        chosen = membership.candidate(pool, pool_zone(pool), near)
+    if chosen == site.me.name or chosen in site.links_up:
+        return chosen
+    return None
+
+
+def is_candidate(site: Site, pool: str, now: float) -> bool:
+    """Whether this entry host should take a pool's fence when it is free."""
+    near = reachable(site, now)
+    found = membership.candidate(pool, pool_zone(pool), near)
+    return found == site.me.name
+
+
+def owns_fence(site: Site, pool: str, now: float) -> bool:
+    """Whether no other entry host can be the pool's grantor."""
+    fence = site.fences.get(pool)
+    if fence is None or fence.host != site.me.name or not site.settings:
+        return False
+    others = {
+        h.name: site.news.get(h.name, PeerNews(NEVER, 0.0))
+        for h in entry_hosts(site)[1:]
+    }
+    return fences.fence_holds(
+        site.lease, others, site.settings.membership.suspect_ms, now
+    )
+
+
+def takeover(site: Site, pool: str, incarnation: int, now: float) -> Takeover:
+    """Return what a new grantor of a pool starts from.
+
+    Every entry host that is known, or was until lately, may have a request
+    in flight until the longest deadline has passed.
+    """
+    assert site.settings is not None
+    rules = site.settings.services[pool_service(pool)]
+    names = {h.name for h in entry_hosts(site)} | set(site.news)
+    until = dict.fromkeys(names, now + rules.deadline_most_ms)
+    return Takeover(incarnation, dict(site.upstreams), until)
+
+
+def round_trip_ms(site: Site, pool: str) -> float:
+    """Return the travel to a pool's availability zone and back."""
+    if site.settings is None:
+        return 0.0
+    there = pool_zone(pool)
+    if there == site.me.availability_zone:
+        return 0.0
+    zone = site.settings.availability_zones.get(there)
+    return 2.0 * zone.distance_ms if zone else 0.0
+
+
+def pool_view(site: Site, pool: str, now: float) -> PoolView:
+    """Return what this entry host's holder needs to know of a pool."""
+    names = tuple(
+        u.name for u in upstreams_of(site, pool) if u.state is HostState.LIVE
+    )
+    grantor = grantor_of(site, pool, now)
+    floor: tuple[str, ...] = ()
+    if grantor is None or _shares_are_fixed(site):
+        floor = _floor(site, pool, names)
+    return PoolView(
+        pool,
+        grantor,
+        round_trip_ms(site, pool),
+        is_open(site, pool),
+        names,
+        floor,
+    )
+
+
+def service_views(site: Site, service: str, now: float) -> list[PoolView]:
+    """Return the views of a service's pools, nearest first."""
+    mine = [p for p in pools(site) if pool_service(p) == service]
+    views = [pool_view(site, p, now) for p in mine]
+    return sorted(views, key=lambda v: v.round_trip_ms)
+
+
+def _shares_are_fixed(site: Site) -> bool:
+    return bool(site.settings and site.settings.permits.sharing == FIXED)
+
+
+def _floor(site: Site, pool: str, names: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the warm upstreams that this host may use while cut off."""
+    assert site.settings is not None
+    slots = site.settings.services[pool_service(pool)].slots
+    hosts = [h.name for h in entry_hosts(site)]
+    if _shares_are_fixed(site):
+        return membership.floor_of(site.me.name, names, hosts, slots)
+    warm = [n for n in names if n in site.upstreams and site.upstreams[n].warm]
+    return membership.floor_of(site.me.name, warm, hosts, slots)
--- /dev/null
+++ b/wigeongw/ports/__init__.py
@@ -0,0 +1,1 @@
+"""What the daemon needs from the outside, as typed interfaces."""
--- /dev/null
+++ b/wigeongw/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' settings: read, merged, checked and kept as revisions."""
