--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -35,7 +35,9 @@
     for folder in FOLDERS:
         suite.addTests(
             loader.discover(
-                str(ROOT / folder), pattern="*_test.py", top_level_dir=str(ROOT)
+                str(ROOT / folder),
+                pattern="*_test.py",
+                top_level_dir=str(ROOT),
             )
         )
     return suite
--- a/wigeongw/commands/main.py
+++ b/wigeongw/commands/main.py
@@ -2,7 +2,11 @@
 
 import typer
 
+from wigeongw.commands import demo
+from wigeongw.commands import record
 from wigeongw.commands import serve
+from wigeongw.commands import settings
+from wigeongw.commands import status
 
 app = typer.Typer(
     no_args_is_help=True,
@@ -17,6 +21,12 @@
 
 
 app.command("serve")(serve.serve)
+app.command("demo")(demo.demo)
+app.command("status")(status.status)
+app.command("record")(record.record)
+app.add_typer(
+    settings.app, name="settings", help="Check and publish settings."
+)
 
 
 def run() -> None:
--- /dev/null
+++ b/wigeongw/commands/platform.py
@@ -0,0 +1,41 @@
+"""Opens the platform's store and host list for one command."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Annotated
+
+import aiohttp
+import typer
+
+from wigeongw.adapters.etcd_store import EtcdStore
+from wigeongw.adapters.host_list import HttpHostList
+from wigeongw.daemon.entry_host import Platform
+
+DEFAULT_PREFIX = "wigeongw/"
+
+StoreUrl = Annotated[
+    str,
+    typer.Option(
+        "--store", envvar="WIGEONGW_STORE", help="Base URL of the store."
+    ),
+]
+HostListUrl = Annotated[
+    str,
+    typer.Option(
+        "--host-list",
+        envvar="WIGEONGW_HOST_LIST",
+        help="URL of the host list; needed to tell entry hosts at once.",
+    ),
+]
+KeyPrefix = Annotated[
+    str, typer.Option("--prefix", help="Prefix of all keys in the store.")
+]
+
+
+@asynccontextmanager
+async def opened(store: str, host_list: str) -> AsyncIterator[Platform]:
+    """Open the platform until the block ends."""
+    async with aiohttp.ClientSession() as session:
+        yield Platform(
+            EtcdStore(session, store), HttpHostList(session, host_list)
+        )
--- a/wigeongw/daemon/entry_host.py
+++ b/wigeongw/daemon/entry_host.py
@@ -133,7 +133,13 @@
         """
         async with AsyncExitStack() as stack:
             servers = await self._open(stack)
-            log.info("Serving clients at {}.", self.settings.address)
+            assert self.bound is not None
+            log.info(
+                "Serving clients at {}, peers at {}, administration at {}.",
+                self.bound.address,
+                self.bound.peer_address,
+                self.bound.admin_address,
+            )
             self.ready.set()
             await self.stop.wait()
             await self._drain(servers)
--- a/wigeongw/daemon/store_keeper.py
+++ b/wigeongw/daemon/store_keeper.py
@@ -34,6 +34,7 @@
 READ_EVERY_MS = 5_000.0
 FENCE_EVERY_MS = 100.0
 KEEPS_PER_LEASE = 3.0
+HAND_OVER_MS = 2_000.0
 
 log = logbook.Logger("store")
 
@@ -58,6 +59,8 @@
         self.rng = rng
         self.lease = 0
         self.stopping = False
+        self.settled_at = float("inf")
+        self.misplaced: dict[str, float] = {}
 
     async def run_watch(self) -> None:
         """Follow settings and fences, for ever."""
@@ -120,24 +123,31 @@
             await asyncio.sleep(seconds(rules.lease_ms / KEEPS_PER_LEASE))
 
     async def run_fences(self) -> None:
-        """Take the fences that this host should have, for ever."""
+        """Take the fences that this host should have, for ever.
+
+        A host that has just started waits until it has heard the others, or
+        it would take every fence that is free.
+        """
         while True:
             await asyncio.sleep(seconds(FENCE_EVERY_MS))
-            if self.stopping or not self.lease:
+            settled = self.clock.now() >= self.settled_at
+            if self.stopping or not self.lease or not settled:
                 continue
-            for pool in self._wanted():
-                try:
+            try:
+                for pool in self._wanted():
                     await self._take_fence(pool)
-                except StoreError as error:
-                    log.info("Fence of {} not taken: {}.", pool, error)
-                    await self._pause()
-                    break
+                for pool in self._to_hand_over():
+                    await self._hand_over(pool)
+            except StoreError as error:
+                log.info("Fences not settled: {}.", error)
+                await self._pause()
 
     async def run_host_list(self) -> None:
         """Read the host list again and again, for ever."""
         while True:
             try:
                 self.keeper.on_listing(await self.host_list.read())
+                self._settle()
             except HostListError as error:
                 log.info("{}.", error)
             await asyncio.sleep(seconds(self._rules().list_poll_ms))
@@ -194,14 +204,51 @@
             and sites.is_candidate(site, pool, now)
         ]
 
+    def _settle(self) -> None:
+        """Begin to wait for the others once the host list was read."""
+        if self.settled_at == float("inf"):
+            wait = self._rules().suspect_ms
+            self.settled_at = self.clock.now() + wait
+
     async def _take_fence(self, pool: str) -> None:
+        """Take a fence whose key is absent, or was left empty."""
         key = self.prefix + FENCES + pool
         me = self.keeper.site.me.name
-        put = Put(key, me.encode(), 0, self.lease)
+        expected = 0
+        for _ in range(2):
+            put = Put(key, me.encode(), expected, self.lease)
+            done = await self.store.commit((put,))
+            self._heard()
+            if done.ok:
+                self.keeper.on_fences([Fence(pool, me, done.revision)])
+                return
+            if done.found[0].value:
+                break
+            expected = done.found[0].revision
+        self._take(done.found)
+
+    def _to_hand_over(self) -> list[str]:
+        """Return own pools that have belonged elsewhere for a while."""
+        site = self.keeper.site
+        now = self.clock.now()
+        misplaced = {
+            pool: self.misplaced.get(pool, now)
+            for pool, fence in site.fences.items()
+            if fence.host == site.me.name
+            and pool in sites.pools(site)
+            and not sites.is_candidate(site, pool, now)
+        }
+        self.misplaced = misplaced
+        return [p for p, t in misplaced.items() if now - t >= HAND_OVER_MS]
+
+    async def _hand_over(self, pool: str) -> None:
+        """Leave a fence empty for the host that should have it."""
+        fence = self.keeper.site.fences[pool]
+        put = Put(self.prefix + FENCES + pool, b"", fence.epoch)
         done = await self.store.commit((put,))
         self._heard()
         if done.ok:
-            self.keeper.on_fences([Fence(pool, me, done.revision)])
+            self.keeper.on_fences([Fence(pool, "", done.revision)])
             return
         self._take(done.found)
 
