Peer stream as frames, queues of constant cost, links that come back

Cause: at 17 entry hosts a daemon spent 24 % of a core at 63 requests a second, 60 % of its busy samples inside grpclib and h2; links whose stream broke once never came back (the task died of an exception group nobody caught); with hundreds of requests in line every ask and every tick walked all of them, and the loops fell behind until hosts took each other for gone; a register that came before its grantor was lost, so a pool stayed closed to cold upstreams for the longest deadline. Ruled out: the wait in the permit decisions themselves (utilisation stayed full once queues were cheap).

Change: grpclib answers questions (meet, settings); the stream is frames of protobuf over TCP, one per turn of the event loop. Asks queue in a keyed order; holders keep as many asks as they have requests, bounded; registers repeat until confirmed; a request whose line is too long for its deadline is refused on arrival.

--- a/standins/site.py
+++ b/standins/site.py
@@ -348,7 +348,7 @@
             )
 
     async def wait_fences(self, most_ms: float = 10_000.0) -> None:
-        """Wait until every pool has a fenced grantor."""
+        """Wait until every pool has a fenced grantor that heard everybody."""
         clock = Clock()
         ends_at = clock.now() + most_ms
         while clock.now() < ends_at:
@@ -357,7 +357,11 @@
             for name in self.admin:
                 found = await self.status(name)
                 pools |= {p["pool"] for p in found["pools"]}
-                fenced |= {p["pool"] for p in found["pools"] if p["fenced"]}
+                fenced |= {
+                    p["pool"]
+                    for p in found["pools"]
+                    if p["fenced"] and p["settled"]
+                }
             if pools and pools == fenced:
                 return
             await asyncio.sleep(seconds(POLL_MS))
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -9,9 +9,9 @@
 import asyncio
 from collections import Counter
 from collections import deque
-from dataclasses import asdict
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import fields
 import functools
 import json
 import random
@@ -94,6 +94,7 @@
     cancelled: bool = False
     running: bool = False
     timer: asyncio.TimerHandle | None = None
+    work_ms: float = 0.0
 
 
 @dataclass(slots=True)
@@ -208,8 +209,9 @@
             if job.key:
                 self.seen.keys[job.key] += 1
             loop = asyncio.get_running_loop()
+            job.work_ms = self._work_ms(job)
             job.timer = loop.call_later(
-                seconds(self._work_ms(job)), self._finish, job
+                seconds(job.work_ms), self._finish, job
             )
 
     def _work_ms(self, job: Job) -> float:
@@ -295,6 +297,7 @@
                 "path": job.path,
                 "id": job.identity,
                 "size": len(job.body),
+                "worked_ms": job.work_ms,
                 "key": job.key,
                 "headers": job.headers,
             }
@@ -464,7 +467,9 @@
         elif path == "/control/leave":
             upstream.leaving = True
         elif path == "/control/seen":
-            answer = asdict(upstream.seen)
+            answer = {
+                f.name: getattr(upstream.seen, f.name) for f in fields(Seen)
+            }
             answer["in_flight"] = upstream.in_flight()
             answer["cold"] = upstream.cold
         self.write(200, {}, json.dumps(answer).encode())
--- a/wigeongw/adapters/http_server.py
+++ b/wigeongw/adapters/http_server.py
@@ -14,7 +14,7 @@
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from wigeongw.adapters.peer_grpc import split_address
+from wigeongw.core.addresses import split_address
 from wigeongw.core.clock import seconds
 
 HEAD_MOST_BYTES = 65_536
--- a/wigeongw/adapters/peer_codec.py
+++ b/wigeongw/adapters/peer_codec.py
@@ -14,6 +14,7 @@
 from wigeongw.decisions.messages import HolderMessage
 from wigeongw.decisions.messages import Pressure
 from wigeongw.decisions.messages import Register
+from wigeongw.decisions.messages import Registered
 from wigeongw.decisions.messages import Renew
 from wigeongw.decisions.messages import Renewed
 from wigeongw.decisions.messages import Return
@@ -90,8 +91,9 @@
     Revocations come last, so that one voids grants of its own batch too.
     """
     out: list[GrantorMessage] = []
+    out.extend(Registered(i.pool) for i in batch.registereds)
     out.extend(
-        Grant(i.pool, i.number, i.permit, i.upstream, i.cold)
+        Grant(i.pool, i.number, i.permit, i.upstream, i.cold, i.pressed)
         for i in batch.grants
     )
     out.extend(
@@ -219,11 +221,14 @@
             permit=message.permit,
             upstream=message.upstream,
             cold=message.cold,
+            pressed=message.pressed,
         )
     elif isinstance(message, Pressure):
         batch.pressures.add(pool=message.pool)
     elif isinstance(message, Revoke):
         batch.revokes.add(pool=message.pool, upstream=message.upstream)
+    elif isinstance(message, Registered):
+        batch.registereds.add(pool=message.pool)
     else:
         batch.reneweds.add(
             pool=message.pool, serial=message.serial, permits=message.permits
--- a/wigeongw/adapters/peer_pb/peer_grpc.py
+++ b/wigeongw/adapters/peer_pb/peer_grpc.py
@@ -15,7 +15,7 @@
 class PeerBase(abc.ABC):
 
     @abc.abstractmethod
-    async def Exchange(self, stream: 'grpclib.server.Stream[wigeongw.adapters.peer_pb.peer_pb2.HolderBatch, wigeongw.adapters.peer_pb.peer_pb2.GrantorBatch]') -> None:
+    async def Meet(self, stream: 'grpclib.server.Stream[wigeongw.adapters.peer_pb.peer_pb2.MeetQuery, wigeongw.adapters.peer_pb.peer_pb2.MeetAnswer]') -> None:
         pass
 
     @abc.abstractmethod
@@ -28,11 +28,11 @@
 
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
-            '/wigeongw.peer.v1.Peer/Exchange': grpclib.const.Handler(
-                self.Exchange,
-                grpclib.const.Cardinality.STREAM_STREAM,
-                wigeongw.adapters.peer_pb.peer_pb2.HolderBatch,
-                wigeongw.adapters.peer_pb.peer_pb2.GrantorBatch,
+            '/wigeongw.peer.v1.Peer/Meet': grpclib.const.Handler(
+                self.Meet,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                wigeongw.adapters.peer_pb.peer_pb2.MeetQuery,
+                wigeongw.adapters.peer_pb.peer_pb2.MeetAnswer,
             ),
             '/wigeongw.peer.v1.Peer/FetchSettings': grpclib.const.Handler(
                 self.FetchSettings,
@@ -52,11 +52,11 @@
 class PeerStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
-        self.Exchange = grpclib.client.StreamStreamMethod(
+        self.Meet = grpclib.client.UnaryUnaryMethod(
             channel,
-            '/wigeongw.peer.v1.Peer/Exchange',
-            wigeongw.adapters.peer_pb.peer_pb2.HolderBatch,
-            wigeongw.adapters.peer_pb.peer_pb2.GrantorBatch,
+            '/wigeongw.peer.v1.Peer/Meet',
+            wigeongw.adapters.peer_pb.peer_pb2.MeetQuery,
+            wigeongw.adapters.peer_pb.peer_pb2.MeetAnswer,
         )
         self.FetchSettings = grpclib.client.UnaryUnaryMethod(
             channel,
--- a/wigeongw/commands/settings.py
+++ b/wigeongw/commands/settings.py
@@ -14,7 +14,7 @@
 from returns.result import safe
 import typer
 
-from wigeongw.adapters.peer_grpc import offer_settings
+from wigeongw.adapters.peer_links import offer_settings
 from wigeongw.commands import exits
 from wigeongw.commands.platform import DEFAULT_PREFIX
 from wigeongw.commands.platform import HostListUrl
--- a/wigeongw/daemon/dispatcher.py
+++ b/wigeongw/daemon/dispatcher.py
@@ -42,6 +42,7 @@
 REFUSAL_STATUS = {
     Refusal.QUEUE_FULL: 503,
     Refusal.DEADLINE: 504,
+    Refusal.OVERLOAD: 503,
     Refusal.NO_UPSTREAM: 503,
 }
 RETRY_AFTER_S = 1
--- a/wigeongw/daemon/entry_host.py
+++ b/wigeongw/daemon/entry_host.py
@@ -15,7 +15,7 @@
 from wigeongw.adapters import http_upstream
 from wigeongw.adapters.http_server import EmbeddedServer
 from wigeongw.adapters.http_upstream import HttpUpstreams
-from wigeongw.adapters.peer_grpc import GrpcPeers
+from wigeongw.adapters.peer_links import PeerLinks
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
 from wigeongw.core.records import EntryHost
@@ -86,7 +86,7 @@
             settings.availability_zone,
         )
         self.keeper = SiteKeeper(Site(me), clock, self.record)
-        self.peers = GrpcPeers(me.name, self.keeper, clock)
+        self.peers = PeerLinks(me.name, self.keeper, clock)
         self.desk = PermitDesk(
             self.keeper.site,
             self.peers,
--- a/wigeongw/daemon/own_answers.py
+++ b/wigeongw/daemon/own_answers.py
@@ -111,6 +111,10 @@
             "store_silent_ms": round(now - site.store_heard_at, 1)
             if site.store_heard_at > 0
             else None,
+            "waiting": {
+                service: holder.waiting_count()
+                for service, holder in self.desk.holders.items()
+            },
             "zones_out": sorted(sites.zones_out(site)),
             "entry_hosts": [
                 {
@@ -135,6 +139,10 @@
             "fence": asdict(fence) if fence else None,
             "fenced": sites.owns_fence(site, pool, now),
             "queued": queued,
+            "settled": grantor is not None
+            and not grantor.unheard
+            and sites.is_candidate(site, pool, now),
+            "unheard": sorted(grantor.unheard) if grantor else [],
             "upstreams": [
                 self._upstream(site, pool, u.name, u.state.value)
                 for u in sites.upstreams_of(site, pool)
--- a/wigeongw/daemon/permit_desk.py
+++ b/wigeongw/daemon/permit_desk.py
@@ -277,8 +277,7 @@
         if isinstance(message, Cancel):
             return grantor.cancel(host, message)
         assert isinstance(message, Register)
-        grantor.register(host, message, now)
-        return []
+        return grantor.register(host, message, now)
 
     def _holder(self, service: str, rules: ServiceSettings) -> Sharing:
         """Return the service's holder, built anew when its rules changed."""
--- a/wigeongw/decisions/grantor.py
+++ b/wigeongw/decisions/grantor.py
@@ -20,6 +20,7 @@
 from wigeongw.decisions.messages import Grant
 from wigeongw.decisions.messages import Pressure
 from wigeongw.decisions.messages import Register
+from wigeongw.decisions.messages import Registered
 from wigeongw.decisions.messages import Renew
 from wigeongw.decisions.messages import Renewed
 from wigeongw.decisions.messages import Return
@@ -30,7 +31,8 @@
 from wigeongw.settings.model import ColdStartSettings
 from wigeongw.settings.model import PermitSettings
 
-PRESSURE_EVERY_MS = 1.0
+PRESSURE_EVERY_MS = 10.0
+CHECK_EVERY_MS = 50.0
 SERIAL_BITS = 32
 
 
@@ -88,6 +90,55 @@
     ends_at: float
 
 
+class AskQueue:
+    """Asks in order of arrival; every change costs the same at any length."""
+
+    def __init__(self) -> None:
+        self.places: dict[int, QueuedAsk] = {}
+        self.index: dict[tuple[str, int], int] = {}
+        self.last = 0
+
+    def __len__(self) -> int:
+        return len(self.places)
+
+    def add(self, queued: QueuedAsk) -> None:
+        """Queue an ask last, or in the place of the one it replaces."""
+        ask = queued.ask
+        place = self.index.pop((queued.holder, ask.replaces), None)
+        if place is None:
+            self.last += 1
+            place = self.last
+        self.places[place] = queued
+        self.index[queued.holder, ask.number] = place
+
+    def in_order(self) -> list[tuple[int, QueuedAsk]]:
+        """Return the places with their asks, oldest first."""
+        return list(self.places.items())
+
+    def take(self, place: int) -> None:
+        """Take an ask out by its place."""
+        queued = self.places.pop(place)
+        del self.index[queued.holder, queued.ask.number]
+
+    def remove(self, holder: str, number: int) -> None:
+        """Take an ask out, if it is still there."""
+        place = self.index.get((holder, number))
+        if place is not None:
+            self.take(place)
+
+    def remove_holder(self, holder: str) -> None:
+        """Take all asks of a holder out."""
+        for place, queued in self.in_order():
+            if queued.holder == holder:
+                self.take(place)
+
+    def remove_ended(self, now: float) -> None:
+        """Take out asks whose requests are over."""
+        for place, queued in self.in_order():
+            if now >= queued.ends_at:
+                self.take(place)
+
+
 @dataclass(frozen=True, slots=True)
 class Takeover:
     """What a new grantor starts from.
@@ -121,7 +172,7 @@
         self.cold = cold
         self.slots: dict[str, Slot] = {}
         self.permits: dict[int, Permit] = {}
-        self.queue: list[QueuedAsk] = []
+        self.queue = AskQueue()
         self.known = dict(takeover.known)
         self.unheard = dict(takeover.unheard)
         self.opens_at = now + rules.lifetime_ms + rules.margin_ms
@@ -131,6 +182,7 @@
         self.usual_ms = 0.0
         self.serial = takeover.incarnation << SERIAL_BITS
         self.pressed_at = float("-inf")
+        self.checked_at = float("-inf")
         self.holders: set[str] = set()
 
     # Views of the world
@@ -202,21 +254,16 @@
     def ask(self, holder: str, ask: Ask, now: float) -> list[ToHolder]:
         """Queue an ask and hand out what is free."""
         self.holders.add(holder)
-        self._enqueue(QueuedAsk(holder, ask, now + ask.ends_in_ms))
+        self.queue.add(QueuedAsk(holder, ask, now + ask.ends_in_ms))
         out = self._serve(now)
         if self.queue and now - self.pressed_at >= PRESSURE_EVERY_MS:
             self.pressed_at = now
-            pressure = Pressure(self.pool)
-            out.extend(ToHolder(h, pressure) for h in sorted(self.holders))
+            out.extend(self._press())
         return out
 
     def cancel(self, holder: str, cancel: Cancel) -> list[ToHolder]:
         """Drop an ask that is still queued."""
-        self.queue = [
-            q
-            for q in self.queue
-            if q.holder != holder or q.ask.number != cancel.number
-        ]
+        self.queue.remove(holder, cancel.number)
         return []
 
     def take_back(
@@ -246,7 +293,9 @@
         answer = Renewed(self.pool, renew.serial, tuple(kept))
         return [ToHolder(holder, answer)]
 
-    def register(self, holder: str, register: Register, now: float) -> None:
+    def register(
+        self, holder: str, register: Register, now: float
+    ) -> list[ToHolder]:
         """Take in all that a holder has in flight here."""
         self.holders.add(holder)
         self.unheard.pop(holder, None)
@@ -260,11 +309,13 @@
             )
             if held.upstream in self.slots:
                 self.slots[held.upstream].in_use += 1
+        confirmed = ToHolder(holder, Registered(self.pool))
+        return [confirmed, *self._serve(now)]
 
     def lost(self, holder: str) -> None:
         """Forget the queued asks of a holder whose stream broke."""
         self.holders.discard(holder)
-        self.queue = [q for q in self.queue if q.holder != holder]
+        self.queue.remove_holder(holder)
 
     def tick(self, now: float) -> list[ToHolder]:
         """Reclaim what was lost and serve what waits.
@@ -272,11 +323,13 @@
         A lost permit for a warm upstream is free again after its lifetime;
         one for a cold upstream only when its request must be over.
         """
-        for number in [
-            n for n, p in self.permits.items() if self._is_lost(p, now)
-        ]:
-            self._release(self.permits.pop(number))
-        self.queue = [q for q in self.queue if now < q.ends_at]
+        if now - self.checked_at >= CHECK_EVERY_MS:
+            self.checked_at = now
+            for number in [
+                n for n, p in self.permits.items() if self._is_lost(p, now)
+            ]:
+                self._release(self.permits.pop(number))
+            self.queue.remove_ended(now)
         return self._serve(now)
 
     def next_to_measure(self, before: float) -> Upstream | None:
@@ -305,16 +358,6 @@
 
     # Inside
 
-    def _enqueue(self, queued: QueuedAsk) -> None:
-        """Queue an ask last, or in the place of the one it replaces."""
-        if queued.ask.replaces:
-            for place, before in enumerate(self.queue):
-                same = before.ask.number == queued.ask.replaces
-                if same and before.holder == queued.holder:
-                    self.queue[place] = queued
-                    return
-        self.queue.append(queued)
-
     def _new_slot(self, upstream: Upstream, slots: int) -> Slot:
         view = self.known.get(upstream.name)
         ramp = ramps.cold(slots, self.cold)
@@ -406,19 +449,27 @@
         if not self.queue or not self.open or not self._warm_allowed(now):
             return []
         out: list[ToHolder] = []
-        waiting: list[QueuedAsk] = []
         free = self._free_slots(now)
-        for queued in self.queue:
-            slot = self._pick(queued.ask, free) if free else None
+        if not free:
+            return out
+        for place, queued in self.queue.in_order():
+            if not free:
+                break
+            slot = self._pick(queued.ask, free)
             if slot is None:
-                waiting.append(queued)
                 continue
+            self.queue.take(place)
             out.append(self._grant(queued, slot, now))
             if slot.in_use >= slot.ramp.limit:
                 free.remove(slot)
-        self.queue = waiting
         return out
 
+    def _press(self) -> list[ToHolder]:
+        """Ask those who hold permits for the idle ones."""
+        holding = {p.holder for p in self.permits.values()} & self.holders
+        pressure = Pressure(self.pool)
+        return [ToHolder(h, pressure) for h in sorted(holding)]
+
     def _free_slots(self, now: float) -> list[Slot]:
         cold_allowed = self._cold_allowed(now)
         return [
@@ -453,5 +504,6 @@
             self.serial,
             name,
             not slot.ramp.warm,
+            bool(self.queue),
         )
         return ToHolder(queued.holder, grant)
--- a/wigeongw/decisions/holder.py
+++ b/wigeongw/decisions/holder.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
+from itertools import islice
 
 from wigeongw.decisions.messages import Ask
 from wigeongw.decisions.messages import Cancel
@@ -18,6 +19,7 @@
 from wigeongw.decisions.messages import HeldPermit
 from wigeongw.decisions.messages import Pressure
 from wigeongw.decisions.messages import Register
+from wigeongw.decisions.messages import Registered
 from wigeongw.decisions.messages import Renew
 from wigeongw.decisions.messages import Renewed
 from wigeongw.decisions.messages import Return
@@ -42,15 +44,17 @@
 WAIT_WEIGHT = 0.1
 LATENCY_WEIGHT = 0.1
 FIRST_WAIT_MS = 0.5
+ASKS_MOST = 32
+LATE_EVERY_MS = 20.0
+GAP_WEIGHT = 0.05
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class Waiting:
     """A request in line."""
 
     wanted: Wanted
     since: float
-    pools: set[str] = field(default_factory=set)
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +92,7 @@
     renewals: dict[int, float] = field(default_factory=dict)
     pressed_until: float = float("-inf")
     renewed_at: float = float("-inf")
+    registered: bool = False
     wait_ms: float = FIRST_WAIT_MS
 
     def pressed(self, now: float) -> bool:
@@ -108,6 +113,9 @@
         self.latency: dict[str, float] = {}
         self.reported: dict[str, float] = {}
         self.serial = config.incarnation << SERIAL_BITS
+        self.late_at = float("-inf")
+        self.started_at = 0.0
+        self.gap_ms = 0.0
 
     # What the daemon calls
 
@@ -138,18 +146,19 @@
             held = self._take_idle(wanted, now)
             if held is not None:
                 return [self._start(wanted, held)]
-        waiting = Waiting(wanted, now)
-        self.waiting[wanted.request] = waiting
+            self.started_at = now
+        elif now + self._expected_wait() > wanted.ends_at:
+            return [Refuse(wanted.request, Refusal.OVERLOAD)]
+        self.waiting[wanted.request] = Waiting(wanted, now)
         out = self._serve_floor(now)
-        if wanted.request in self.waiting:
-            out.extend(self._ask_near(waiting, now))
+        out.extend(self._balance_asks(now))
         return out
 
     def abandon(self, request: str, now: float) -> list[Effect]:
         """Forget a request that waits."""
         if self.waiting.pop(request, None) is None:
             return []
-        return self._trim_asks()
+        return self._balance_asks(now)
 
     def done(
         self,
@@ -173,7 +182,9 @@
             held.pool, held.number, held.upstream, verdict, served_ms, start
         )
         out = self._after_use(pool, busy, back, now)
-        return out + self._serve_floor(now)
+        if self.waiting:
+            out.extend(self._serve_floor(now))
+        return out
 
     def heard(
         self, host: str, message: GrantorMessage, now: float
@@ -191,18 +202,13 @@
             return self._revoked(pool, message)
         if isinstance(message, Renewed):
             self._renewed(pool, message)
+        if isinstance(message, Registered):
+            pool.registered = True
         return []
 
     def tick(self, now: float) -> list[Effect]:
         """Refuse what is too late, spill over, renew and drop."""
-        out: list[Effect] = []
-        for request in [
-            r for r, w in self.waiting.items() if now >= w.wanted.ends_at
-        ]:
-            del self.waiting[request]
-            out.append(Refuse(request, Refusal.DEADLINE))
-        if out:
-            out.extend(self._trim_asks())
+        out: list[Effect] = self._refuse_late(now)
         for pool in self.pools.values():
             out.extend(self._upkeep(pool, now))
         out.extend(self._serve(now))
@@ -214,32 +220,44 @@
 
     # Asking
 
-    def _ask_near(self, waiting: Waiting, now: float) -> list[Effect]:
-        """Ask the nearest pool, and farther ones that are worth the way."""
+    def _balance_asks(self, now: float) -> list[Effect]:
+        """Have as many asks out as there are requests for them.
+
+        All waiting requests ask the nearest pool; those that waited longer
+        than the way is worth ask the farther ones too.
+        """
         able = [p for p in self.pools.values() if self._can_ask(p)]
         if not able:
             return []
         nearest = able[0]
-        waited = now - waiting.since
         out: list[Effect] = []
         for pool in able:
-            if pool.view.pool in waiting.pools:
-                continue
-            farther = pool.view.round_trip_ms - nearest.view.round_trip_ms
-            worth = pool is nearest or waited >= (
-                self.rules.spill_ms + farther
-            )
-            if not worth and nearest.pressed(now):
-                worth = nearest.wait_ms >= farther
-            if worth:
-                out.append(self._ask(pool, waiting, now))
+            wanted = self._asks_wanted(pool, nearest, now)
+            while len(pool.asks) > wanted:
+                number, _ = pool.asks.popitem()
+                cancel = Cancel(pool.view.pool, number)
+                out.append(self._to_grantor(pool, cancel))
+            if len(pool.asks) < wanted:
+                unasked = islice(self.waiting.values(), len(pool.asks), wanted)
+                out.extend([self._ask(pool, w, now) for w in unasked])
         return out
 
+    def _asks_wanted(self, pool: Pool, nearest: Pool, now: float) -> int:
+        """Return how many asks a pool should have, bounded."""
+        most = min(len(self.waiting), ASKS_MOST)
+        if pool is nearest:
+            return most
+        farther = pool.view.round_trip_ms - nearest.view.round_trip_ms
+        if nearest.pressed(now) and nearest.wait_ms >= farther:
+            return most
+        before = now - self.rules.spill_ms - farther
+        first = islice(self.waiting.values(), most)
+        return sum(1 for w in first if w.since <= before)
+
     def _ask(
         self, pool: Pool, waiting: Waiting, now: float, replaces: int = 0
     ) -> Effect:
         self.serial += 1
-        waiting.pools.add(pool.view.pool)
         wanted = waiting.wanted
         pool.asks[self.serial] = AskSent(now, wanted.ends_at)
         ask = Ask(
@@ -251,31 +269,27 @@
         )
         return self._to_grantor(pool, ask)
 
-    def _trim_asks(self) -> list[Effect]:
-        """Take back asks in excess of the requests that wait."""
-        out: list[Effect] = []
-        for pool in self.pools.values():
-            while len(pool.asks) > len(self.waiting):
-                number, _ = pool.asks.popitem()
-                cancel = Cancel(pool.view.pool, number)
-                out.append(self._to_grantor(pool, cancel))
-        return out
-
     def _new_grantor(self, pool: Pool, now: float) -> list[Effect]:
         """Start over with another grantor: old idle permits are void."""
         pool.idle.clear()
         pool.asks.clear()
         pool.renewals.clear()
-        for waiting in self.waiting.values():
-            waiting.pools.discard(pool.view.pool)
+        pool.registered = False
         if pool.view.grantor is None:
             return []
+        return [self._register(pool, now)]
+
+    def _register(self, pool: Pool, now: float) -> Effect:
+        """Tell the grantor all that is in flight; repeated until heard.
+
+        The other host may not know yet that it is the grantor.
+        """
         held = tuple(
             HeldPermit(b.held.number, b.held.upstream, b.ends_at - now)
             for b in self.busy.values()
             if b.held.pool == pool.view.pool
         )
-        return [self._to_grantor(pool, Register(pool.view.pool, held))]
+        return self._to_grantor(pool, Register(pool.view.pool, held))
 
     # Receiving
 
@@ -295,21 +309,16 @@
             valid_until,
             ends_by,
         )
+        if grant.pressed:
+            pool.pressed_until = now + PRESSURE_LASTS_MS
         if not self._usable(held, now):
             back = Return(held.pool, held.number, held.upstream)
             return [
                 self._to_grantor(pool, back),
-                *self._ask_again(pool, now),
+                *self._balance_asks(now),
             ]
         return self._use_or_keep(pool, held, now)
 
-    def _ask_again(self, pool: Pool, now: float) -> list[Effect]:
-        """Ask anew for the oldest request that a void grant left waiting."""
-        if len(pool.asks) >= len(self.waiting):
-            return []
-        waiting = next(iter(self.waiting.values()))
-        return [self._ask(pool, waiting, now)]
-
     def _revoked(self, pool: Pool, revoke: Revoke) -> list[Effect]:
         kept: list[Idle] = []
         out: list[Effect] = []
@@ -355,8 +364,9 @@
         waiting = self._oldest_fit(held)
         if waiting is not None:
             del self.waiting[waiting.wanted.request]
+            self._note_start(now)
             start = self._start(waiting.wanted, held)
-            return [start, *self._trim_asks()]
+            return [start, *self._balance_asks(now)]
         if held.cold or pool.pressed(now):
             return [self._give_back(pool, held)]
         pool.idle.append(Idle(held, now))
@@ -438,13 +448,10 @@
             if held is None:
                 break
             del self.waiting[waiting.wanted.request]
+            self._note_start(now)
             out.append(self._start(waiting.wanted, held))
-        if out:
-            out.extend(self._trim_asks())
         out.extend(self._serve_floor(now))
-        for waiting in self.waiting.values():
-            out.extend(self._ask_near(waiting, now))
-        return out
+        return out + self._balance_asks(now)
 
     def _serve_floor(self, now: float) -> list[Effect]:
         """While cut off from a grantor, use the share kept for that."""
@@ -456,8 +463,6 @@
                 continue
             for upstream in pool.view.floor:
                 out.extend(self._start_on_floor(pool, upstream))
-        if out:
-            out.extend(self._trim_asks())
         return out
 
     def _start_on_floor(self, pool: Pool, upstream: str) -> list[Effect]:
@@ -495,6 +500,8 @@
         if pool.view.grantor is None:
             pool.idle.clear()
             return []
+        if not pool.registered:
+            out.append(self._register(pool, now))
         kept: list[Idle] = []
         for idle in pool.idle:
             if not self._usable(idle.held, now):
@@ -559,6 +566,26 @@
     def _has_upstream(pool: Pool) -> bool:
         return pool.view.is_open and bool(pool.view.upstreams)
 
+    def _refuse_late(self, now: float) -> list[Effect]:
+        """Refuse requests whose deadline has passed in line."""
+        if now - self.late_at < LATE_EVERY_MS:
+            return []
+        self.late_at = now
+        late = [r for r, w in self.waiting.items() if now >= w.wanted.ends_at]
+        for request in late:
+            del self.waiting[request]
+        return [Refuse(request, Refusal.DEADLINE) for request in late]
+
+    def _expected_wait(self) -> float:
+        """Return how long the line would take at its recent pace."""
+        return self.gap_ms * len(self.waiting)
+
+    def _note_start(self, now: float) -> None:
+        """Follow the pace at which the line moves."""
+        gap = now - self.started_at
+        self.started_at = now
+        self.gap_ms += GAP_WEIGHT * (gap - self.gap_ms)
+
     def _note_latency(self, upstream: str, served_ms: float) -> None:
         before = self.latency.get(upstream, served_ms)
         self.latency[upstream] = before + LATENCY_WEIGHT * (served_ms - before)
--- a/wigeongw/decisions/messages.py
+++ b/wigeongw/decisions/messages.py
@@ -95,6 +95,7 @@
 
     Attributes:
         cold: whether the upstream is in its cold start.
+        pressed: whether other asks still queue.
     """
 
     pool: str
@@ -102,6 +103,7 @@
     permit: int
     upstream: str
     cold: bool = False
+    pressed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,8 +130,15 @@
     permits: tuple[int, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Registered:
+    """Confirms a register."""
+
+    pool: str
+
+
 HolderMessage = Ask | Cancel | Return | Renew | Register
-GrantorMessage = Grant | Pressure | Revoke | Renewed
+GrantorMessage = Grant | Pressure | Revoke | Renewed | Registered
 
 
 @dataclass(frozen=True, slots=True)
--- a/wigeongw/decisions/sharing.py
+++ b/wigeongw/decisions/sharing.py
@@ -24,6 +24,7 @@
 
     QUEUE_FULL = "queue-full"
     DEADLINE = "deadline"
+    OVERLOAD = "overload"
     NO_UPSTREAM = "no-upstream"
 
 
