--- a/wigeongw/adapters/peer_codec.py
+++ b/wigeongw/adapters/peer_codec.py
@@ -93,13 +93,21 @@
     out: list[GrantorMessage] = []
     out.extend(Registered(i.pool) for i in batch.registereds)
     out.extend(
-        Grant(i.pool, i.number, i.permit, i.upstream, i.cold, i.pressed)
+        Grant(
+            i.pool,
+            i.number,
+            i.permit,
+            i.upstream,
+            i.cold,
+            i.pressed,
+            i.queued_ms,
+        )
         for i in batch.grants
     )
     out.extend(
         Renewed(i.pool, i.serial, tuple(i.permits)) for i in batch.reneweds
     )
-    out.extend(Pressure(i.pool) for i in batch.pressures)
+    out.extend(Pressure(i.pool, i.queued_ms) for i in batch.pressures)
     out.extend(Revoke(i.pool, i.upstream) for i in batch.revokes)
     return out
 
@@ -222,9 +230,10 @@
             upstream=message.upstream,
             cold=message.cold,
             pressed=message.pressed,
+            queued_ms=message.queued_ms,
         )
     elif isinstance(message, Pressure):
-        batch.pressures.add(pool=message.pool)
+        batch.pressures.add(pool=message.pool, queued_ms=message.queued_ms)
     elif isinstance(message, Revoke):
         batch.revokes.add(pool=message.pool, upstream=message.upstream)
     elif isinstance(message, Registered):
--- /dev/null
+++ b/wigeongw/adapters/peer_codec_test.py
@@ -0,0 +1,77 @@
+"""Every message between entry hosts survives the way through protobuf."""
+
+import unittest
+
+from wigeongw.adapters import peer_codec as codec
+from wigeongw.adapters.peer_pb import peer_pb2 as pb
+from wigeongw.core.records import Revision
+from wigeongw.decisions.fence import Fence
+from wigeongw.decisions.grantor import UpstreamView
+from wigeongw.decisions.messages import Ask
+from wigeongw.decisions.messages import Cancel
+from wigeongw.decisions.messages import Grant
+from wigeongw.decisions.messages import HeldPermit
+from wigeongw.decisions.messages import Pressure
+from wigeongw.decisions.messages import Register
+from wigeongw.decisions.messages import Registered
+from wigeongw.decisions.messages import Renew
+from wigeongw.decisions.messages import Renewed
+from wigeongw.decisions.messages import Return
+from wigeongw.decisions.messages import Revoke
+from wigeongw.decisions.messages import Verdict
+from wigeongw.ports.errors import PeerError
+from wigeongw.ports.peers import Heartbeat
+
+HOLDER = (
+    Register("p", (HeldPermit(7, "u", 12.5),)),
+    Renew("p", 3, (7, 8)),
+    Return("p", 7, "u", Verdict.SHED, 4.5, "start"),
+    Ask("p", 9, 100.0, ("u", "v"), 5),
+    Cancel("p", 9),
+)
+GRANTOR = (
+    Registered("p"),
+    Grant("p", 9, 77, "u", True, True, 3.5),
+    Renewed("p", 3, (7,)),
+    Pressure("p", 2.5),
+    Revoke("p", "u"),
+)
+
+
+class PeerCodecTest(unittest.TestCase):
+    def test_holder_messages(self) -> None:
+        batch = codec.holder_batch("h", HOLDER, None, 0.0)
+        raw = batch.SerializeToString()
+        back = codec.holder_messages(pb.HolderBatch.FromString(raw))
+        self.assertEqual(tuple(back), HOLDER)
+
+    def test_grantor_messages(self) -> None:
+        raw = codec.grantor_batch(GRANTOR).SerializeToString()
+        back = codec.grantor_messages(pb.GrantorBatch.FromString(raw))
+        self.assertEqual(tuple(back), GRANTOR)
+
+    def test_heartbeat_ages_cross_clocks(self) -> None:
+        view = UpstreamView("p", "u", True, 4, "s", 900.0)
+        beat = Heartbeat(
+            "h", 3, True, 5.0, (view,), ("v",), (Fence("p", "h", 2),)
+        )
+        batch = codec.holder_batch("h", (), beat, 1_000.0)
+        back = codec.heartbeat_of(batch.heartbeat, 50_000.0)
+        self.assertEqual(back.upstreams[0].seen_at, 49_900.0)
+        self.assertEqual(back.fences, beat.fences)
+        self.assertEqual(back.leaving_upstreams, ("v",))
+
+    def test_unknown_verdict_is_refused(self) -> None:
+        batch = pb.HolderBatch(host="h")
+        batch.returns.add(pool="p", permit=1, verdict=99)
+        with self.assertRaises(PeerError):
+            codec.holder_messages(batch)
+
+    def test_revision(self) -> None:
+        revision = Revision(3, "text", "who", "why", 1.5, "b", "d")
+        back = codec.unpack_revision(codec.pack_revision(revision))
+        self.assertEqual(back, revision)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wigeongw/decisions/grantor.py
+++ b/wigeongw/decisions/grantor.py
@@ -88,6 +88,7 @@
     holder: str
     ask: Ask
     ends_at: float
+    since: float
 
 
 class AskQueue:
@@ -104,13 +105,23 @@
     def add(self, queued: QueuedAsk) -> None:
         """Queue an ask last, or in the place of the one it replaces."""
         ask = queued.ask
+        if (queued.holder, ask.number) in self.index:
+            return
         place = self.index.pop((queued.holder, ask.replaces), None)
         if place is None:
             self.last += 1
             place = self.last
+        else:
+            queued.since = self.places[place].since
         self.places[place] = queued
         self.index[queued.holder, ask.number] = place
 
+    def queued_ms(self, now: float) -> float:
+        """Return how long the first ask has queued; 0 when none does."""
+        for first in self.places.values():
+            return now - first.since
+        return 0.0
+
     def in_order(self) -> list[tuple[int, QueuedAsk]]:
         """Return the places with their asks, oldest first."""
         return list(self.places.items())
@@ -254,11 +265,11 @@
     def ask(self, holder: str, ask: Ask, now: float) -> list[ToHolder]:
         """Queue an ask and hand out what is free."""
         self.holders.add(holder)
-        self.queue.add(QueuedAsk(holder, ask, now + ask.ends_in_ms))
+        self.queue.add(QueuedAsk(holder, ask, now + ask.ends_in_ms, now))
         out = self._serve(now)
         if self.queue and now - self.pressed_at >= PRESSURE_EVERY_MS:
             self.pressed_at = now
-            out.extend(self._press())
+            out.extend(self._press(now))
         return out
 
     def cancel(self, holder: str, cancel: Cancel) -> list[ToHolder]:
@@ -464,10 +475,10 @@
                 free.remove(slot)
         return out
 
-    def _press(self) -> list[ToHolder]:
+    def _press(self, now: float) -> list[ToHolder]:
         """Ask those who hold permits for the idle ones."""
         holding = {p.holder for p in self.permits.values()} & self.holders
-        pressure = Pressure(self.pool)
+        pressure = Pressure(self.pool, self.queue.queued_ms(now))
         return [ToHolder(h, pressure) for h in sorted(holding)]
 
     def _free_slots(self, now: float) -> list[Slot]:
@@ -505,5 +516,6 @@
             name,
             not slot.ramp.warm,
             bool(self.queue),
+            self.queue.queued_ms(now),
         )
         return ToHolder(queued.holder, grant)
--- a/wigeongw/decisions/holder.py
+++ b/wigeongw/decisions/holder.py
@@ -91,6 +91,7 @@
     asks: dict[int, AskSent] = field(default_factory=dict)
     renewals: dict[int, float] = field(default_factory=dict)
     pressed_until: float = float("-inf")
+    queue_since: float = float("inf")
     renewed_at: float = float("-inf")
     registered: bool = False
     wait_ms: float = FIRST_WAIT_MS
@@ -99,6 +100,11 @@
         """Whether others wait for permits of this pool."""
         return now < self.pressed_until
 
+    def press(self, queued_ms: float, now: float) -> None:
+        """Note that others wait, the first of them for a while already."""
+        self.pressed_until = now + PRESSURE_LASTS_MS
+        self.queue_since = now - queued_ms
+
 
 @sharing("permits")
 class Holder:
@@ -196,7 +202,7 @@
         if isinstance(message, Grant):
             return self._granted(pool, message, now)
         if isinstance(message, Pressure):
-            pool.pressed_until = now + PRESSURE_LASTS_MS
+            pool.press(message.queued_ms, now)
             return self._return_idle(pool)
         if isinstance(message, Revoke):
             return self._revoked(pool, message)
@@ -310,7 +316,7 @@
             ends_by,
         )
         if grant.pressed:
-            pool.pressed_until = now + PRESSURE_LASTS_MS
+            pool.press(grant.queued_ms, now)
         if not self._usable(held, now):
             back = Return(held.pool, held.number, held.upstream)
             return [
@@ -396,6 +402,8 @@
             if pool.view.grantor is None:
                 return []
             return [self._to_grantor(pool, back)]
+        if pool.pressed(now) and not self._is_our_turn(pool, held):
+            return [self._to_grantor(pool, back)]
         out = self._use_or_keep(pool, held, now)
         returned = any(
             isinstance(e, ToGrantor) and isinstance(e.message, Return)
@@ -405,6 +413,11 @@
             return [self._to_grantor(pool, back)]
         return out + self._report(pool, back, now)
 
+    def _is_our_turn(self, pool: Pool, held: Held) -> bool:
+        """Whether our oldest request waits longer than anybody's there."""
+        waiting = self._oldest_fit(held)
+        return waiting is not None and waiting.since <= pool.queue_since
+
     def _report(self, pool: Pool, back: Return, now: float) -> list[Effect]:
         """Tell the grantor now and then how a kept permit does."""
         last = self.reported.get(back.upstream, float("-inf"))
--- a/wigeongw/decisions/messages.py
+++ b/wigeongw/decisions/messages.py
@@ -96,6 +96,7 @@
     Attributes:
         cold: whether the upstream is in its cold start.
         pressed: whether other asks still queue.
+        queued_ms: how long the first of those has queued.
     """
 
     pool: str
@@ -104,13 +105,19 @@
     upstream: str
     cold: bool = False
     pressed: bool = False
+    queued_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class Pressure:
-    """Says that asks are queueing: idle permits are wanted back."""
+    """Says that asks are queueing: idle permits are wanted back.
+
+    Attributes:
+        queued_ms: how long the first ask in the queue has waited.
+    """
 
     pool: str
+    queued_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
