What a client is told holds over all attempts, and proofs by processes

Cause: a GET whose first attempt was dropped after running and whose last found no upstream was told "not run": the outcome was that of the last attempt (outcome_test, case "dropped a GET": 'not-run' != 'unknown'). A request that had tried every upstream waited for one until its deadline. Ruled out: the upstream adapter, which had said UNKNOWN.

Change: a problem carries what is certain after all attempts; a request that has tried every upstream is refused at once.

--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -103,6 +103,7 @@
 
     ran: Counter[str] = field(default_factory=Counter)
     keys: Counter[str] = field(default_factory=Counter)
+    paths: Counter[str] = field(default_factory=Counter)
     requests: int = 0
     finished: int = 0
     cancelled: int = 0
@@ -112,6 +113,8 @@
     most_cold: int = 0
     overloads: int = 0
     last_at: float = 0.0
+    report_times: list[float] = field(default_factory=list)
+    report_bytes: int = 0
 
 
 class UpstreamStandIn:
@@ -183,6 +186,7 @@
     def report(self) -> bytes:
         """Return the load report."""
         self.seen.reports += 1
+        self.seen.report_times.append(self.clock.wall())
         return json.dumps(
             {
                 "start": self.start,
@@ -206,6 +210,7 @@
             self.jobs[id(job)] = job
             job.running = True
             self.seen.ran[job.identity] += 1
+            self.seen.paths[job.path] += 1
             if job.key:
                 self.seen.keys[job.key] += 1
             loop = asyncio.get_running_loop()
--- a/wigeongw/daemon/dispatcher.py
+++ b/wigeongw/daemon/dispatcher.py
@@ -6,6 +6,7 @@
 
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import replace
 
@@ -148,16 +149,21 @@
         self.budgets[request.service] = retry.earn(
             self._budget(request.service)
         )
+        failures: list[UpstreamError] = []
         tried: tuple[str, ...] = ()
         while True:
             attempt = len(tried) + 1
-            held = await self._admit(request, tried, attempt)
             try:
+                held = await self._admit(request, tried, attempt)
                 return await self._attempt(request, held, attempt, may_send)
+            except Problem as problem:
+                raise _with_history(problem, failures) from problem
             except UpstreamError as error:
+                failures.append(error)
                 tried = (*tried, held.upstream)
                 if not self._again(request, error, attempt):
-                    raise self._problem(request, error) from error
+                    last = self._problem(error)
+                    raise _with_history(last, failures) from error
 
     def spend(self, service: str) -> bool:
         """Pay for an extra attempt out of the service's budget."""
@@ -314,7 +320,7 @@
         return safe and in_time and self.spend(request.service)
 
     @staticmethod
-    def _problem(request: Request, error: UpstreamError) -> Problem:
+    def _problem(error: UpstreamError) -> Problem:
         if error.outcome is Outcome.NOT_RUN:
             return Problem(
                 503,
@@ -359,6 +365,20 @@
         self.verdict = Verdict.FAILED
 
 
+def _with_history(
+    problem: Problem, failures: Sequence[UpstreamError]
+) -> Problem:
+    """Let a problem say what is certain after all attempts, not the last.
+
+    An earlier attempt may have run although the last one certainly did not.
+    """
+    unknown = [f for f in failures if f.outcome is not Outcome.NOT_RUN]
+    if problem.outcome is not Outcome.NOT_RUN or not unknown:
+        return problem
+    reason = f"{unknown[0].reason}; then: {problem.detail}"
+    return Problem(502, "The exchange failed", reason, Outcome.UNKNOWN)
+
+
 def _reason(held: Held, attempt: int) -> str:
     if attempt > 1:
         return f"retry-{attempt - 1}"
--- /dev/null
+++ b/wigeongw/daemon/outcome_test.py
@@ -0,0 +1,172 @@
+"""What a client is told is true: not run, ran or unknown."""
+
+import asyncio
+import signal
+import unittest
+
+from standins.site_case import SiteCase
+
+KEY = "Idempotency-Key"
+
+
+class OutcomeTest(SiteCase):
+    zones = ("amman",)
+    hosts_per_zone = 2
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.warm_up()
+
+    async def faults(self, **faults: object) -> None:
+        for upstream in self.site.listing.upstreams:
+            await self.site.control(upstream.name, "faults", faults)
+
+    async def executions(self, path: str) -> int:
+        """Return how often a path really ran, by the request's identity."""
+        seen = await self.site.all_seen()
+        return sum(s["paths"].get(path, 0) for s in seen.values())
+
+    async def test_told_not_run_means_not_run(self) -> None:
+        """Every place an exchange can fail, with the upstreams' own count."""
+        cases: tuple[tuple[str, dict[str, object], str, str], ...] = (
+            ("shed", {"shed": True}, "GET", "not-run"),
+            ("shed a POST", {"shed": True}, "POST", "not-run"),
+            ("dropped after running", {"drop": True}, "POST", "unknown"),
+            ("dropped a GET", {"drop": True}, "GET", "unknown"),
+            ("cut in the head", {"truncate_at": 20}, "POST", "unknown"),
+            ("cut in the body", {"truncate_at": 300}, "POST", "unknown"),
+            ("another's answer", {"wrong_identity": True}, "POST", "unknown"),
+            ("without a length", {"no_length": True}, "POST", "unknown"),
+            ("an error status", {"refuse_status": 500}, "POST", "ran"),
+        )
+        for number, (name, faults, method, expected) in enumerate(cases):
+            with self.subTest(name):
+                path = f"/dial-watch/case-{number}"
+                await self.faults(**faults)
+                headers = {KEY: f"key-{number}"} if method == "POST" else {}
+                _, outcome, _ = await self.send(
+                    self.hosts[0], method, path, headers=headers
+                )
+                await self.faults()
+                self.assertEqual(outcome, expected)
+                ran = await self.executions(path)
+                if outcome == "not-run":
+                    self.assertEqual(ran, 0)
+                if method == "POST":
+                    self.assertLessEqual(ran, 1)
+
+    async def test_refused_connection_is_not_run(self) -> None:
+        self.site.processes["amman-1"].kill()
+        await asyncio.sleep(0.1)
+        status, outcome, _ = await self.send(
+            self.hosts[0], "POST", "/dial-watch/gone", headers={KEY: "k"}
+        )
+        self.assertEqual((status, outcome), (503, "not-run"))
+
+    async def test_bad_requests_are_refused_and_not_run(self) -> None:
+        before = await self.ran()
+        host = self.hosts[0]
+        cases: tuple[tuple[str, str, dict[str, str], bytes, int], ...] = (
+            ("GET", "/nowhere", {}, b"", 404),
+            ("POST", "/dial-watch/x", {}, b"", 400),
+            ("GET", "/dial-watch/x", {"Wigeongw-Deadline-Ms": "x"}, b"", 400),
+            ("GET", "/dial-watch/x", {"Wigeongw-Deadline-Ms": "0"}, b"", 400),
+            ("POST", "/dial-watch/x", {KEY: "k" * 300}, b"", 400),
+            ("POST", "/dial-watch/x", {KEY: "k"}, b"x" * (1 << 21), 413),
+            ("GET", "/dial-watch/x", {"X-Large": "x" * 70_000}, b"", 431),
+        )
+        for method, path, headers, body, expected in cases:
+            with self.subTest(path=path, expected=expected):
+                status, outcome, _ = await self.send(
+                    host, method, path, headers=headers, data=body
+                )
+                self.assertEqual((status, outcome), (expected, "not-run"))
+        self.assertEqual(await self.ran(), before)
+
+    async def test_smuggling_is_refused(self) -> None:
+        before = await self.ran()
+        cases = (
+            b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+            b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+            b"Transfer-Encoding: xchunked\r\n\r\nabc",
+            b"Content-Length: +4\r\n\r\nabcd",
+            b"X\x00: y\r\n\r\n",
+        )
+        for raw in cases:
+            with self.subTest(raw):
+                answer = await self.raw(
+                    b"POST /dial-watch/x HTTP/1.1\r\nHost: h\r\n"
+                    b"Idempotency-Key: k\r\n" + raw
+                )
+                self.assertTrue(answer.startswith(b"HTTP/1.1 400"), answer)
+        self.assertEqual(await self.ran(), before)
+
+    async def raw(self, request: bytes) -> bytes:
+        address, _, port = self.site.address(self.hosts[0]).partition(":")
+        reader, writer = await asyncio.open_connection(address, int(port))
+        writer.write(request)
+        try:
+            async with asyncio.timeout(5.0):
+                return await reader.read(200)
+        finally:
+            writer.close()
+
+    async def test_client_that_leaves_cancels_the_work(self) -> None:
+        address, _, port = self.site.address(self.hosts[0]).partition(":")
+        _, writer = await asyncio.open_connection(address, int(port))
+        writer.write(
+            b"GET /dial-watch/x?work_ms=30000 HTTP/1.1\r\nHost: h\r\n\r\n"
+        )
+        await asyncio.sleep(0.3)
+        writer.close()
+        await asyncio.sleep(0.3)
+        seen = await self.site.all_seen()
+        self.assertEqual(sum(s["in_flight"] for s in seen.values()), 0)
+        self.assertEqual(sum(s["cancelled"] for s in seen.values()), 1)
+
+    async def test_deadline_in_line_is_not_run(self) -> None:
+        """Eight slots are taken; the ninth request cannot start in time."""
+        slow = [
+            asyncio.create_task(
+                self.send(
+                    self.hosts[n % 2], "GET", "/dial-watch/slow?work_ms=2000"
+                )
+            )
+            for n in range(8)
+        ]
+        await asyncio.sleep(0.3)
+        status, outcome, _ = await self.send(
+            self.hosts[0],
+            "GET",
+            "/dial-watch/late",
+            headers={"Wigeongw-Deadline-Ms": "300"},
+        )
+        self.assertEqual((status, outcome), (504, "not-run"))
+        self.assertEqual(await self.executions("/dial-watch/late"), 0)
+        for status, _, _ in await asyncio.gather(*slow):
+            self.assertEqual(status, 200)
+
+    async def test_paused_entry_host_does_not_send_late(self) -> None:
+        """A request whose deadline passed in a frozen host is not run."""
+        host = self.hosts[0]
+        self.site.processes[host].signal(signal.SIGSTOP)
+        late = asyncio.create_task(
+            self.send(
+                host,
+                "GET",
+                "/dial-watch/frozen",
+                headers={"Wigeongw-Deadline-Ms": "500"},
+            )
+        )
+        await asyncio.sleep(1.5)
+        self.site.processes[host].signal(signal.SIGCONT)
+        status, outcome, _ = await late
+        ran = await self.executions("/dial-watch/frozen")
+        if outcome == "not-run":
+            self.assertEqual(ran, 0)
+        else:
+            self.assertEqual((status, ran), (200, 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wigeongw/decisions/holder.py
+++ b/wigeongw/decisions/holder.py
@@ -142,7 +142,9 @@
 
     def want(self, wanted: Wanted, now: float) -> list[Effect]:
         """Find an upstream for a request, now or later."""
-        if not any(self._has_upstream(p) for p in self.pools.values()):
+        if not any(
+            self._has_upstream(p, wanted.avoid) for p in self.pools.values()
+        ):
             return [Refuse(wanted.request, Refusal.NO_UPSTREAM)]
         if len(self.waiting) >= self.config.queue_most:
             return [Refuse(wanted.request, Refusal.QUEUE_FULL)]
@@ -576,8 +578,9 @@
         return pool.view.grantor is not None and self._has_upstream(pool)
 
     @staticmethod
-    def _has_upstream(pool: Pool) -> bool:
-        return pool.view.is_open and bool(pool.view.upstreams)
+    def _has_upstream(pool: Pool, avoid: tuple[str, ...] = ()) -> bool:
+        names = pool.view.upstreams
+        return pool.view.is_open and any(n not in avoid for n in names)
 
     def _refuse_late(self, now: float) -> list[Effect]:
         """Refuse requests whose deadline has passed in line."""
--- /dev/null
+++ b/wigeongw/decisions/measuring_test.py
@@ -0,0 +1,93 @@
+"""The measuring budget holds in every window, whatever anybody believes."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import seed
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from wigeongw.decisions import measuring
+from wigeongw.decisions.measuring import Share
+from wigeongw.decisions.measuring import Spender
+from wigeongw.settings import check
+
+SITE = """
+site = "test"
+[availability_zones.amman]
+[availability_zones.irbid]
+[services.dial-watch]
+paths = ["/dial-watch"]
+[services.regulator]
+paths = ["/regulator"]
+[measuring]
+calls_per_s = {calls}
+bytes_per_s = {size}
+"""
+
+
+def site(calls: int, size: int = 1 << 20) -> dict[str, Share]:
+    text = SITE.format(calls=calls, size=size)
+    return measuring.shares(check.from_text(text, "test"))
+
+
+class SharesTest(unittest.TestCase):
+    def test_shares_add_up_to_the_budget_at_most(self) -> None:
+        for calls in (0, 1, 3, 4, 7, 40, 1_000):
+            with self.subTest(calls=calls):
+                total = sum(s.calls for s in site(calls).values())
+                self.assertEqual(total, calls)
+
+    def test_bytes_bound_calls(self) -> None:
+        found = site(1_000, 10_240)
+        total = sum(s.calls * s.call_bytes for s in found.values())
+        self.assertLessEqual(total, 10_240)
+
+
+class SpenderTest(unittest.TestCase):
+    @seed(20261204)
+    @settings(max_examples=300, deadline=None, database=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.floats(0.0, 400.0),
+                st.sampled_from(["take", "share", "move"]),
+                st.integers(0, 6),
+            ),
+            max_size=200,
+        )
+    )
+    def test_every_window_is_within_the_share(
+        self, steps: list[tuple[float, str, int]]
+    ) -> None:
+        """A pool's fence moves about; two spenders never overlap."""
+        now = 0.0
+        spender = Spender(now)
+        current = Share(3, 100)
+        spender.set_share(current, now)
+        sent: list[float] = []
+        largest = 3
+        for wait, action, number in steps:
+            now += wait
+            if action == "take" and spender.take(now):
+                sent.append(now)
+            elif action == "share":
+                largest = max(largest, number)
+                spender.set_share(Share(number, 100), now)
+            elif action == "move":
+                spender = Spender(now)
+                spender.set_share(Share(largest, 100), now)
+        for begin in sent:
+            window = [t for t in sent if begin <= t <= begin + 1_000.0]
+            self.assertLessEqual(len(window), largest)
+
+    def test_a_larger_share_waits_until_all_have_it(self) -> None:
+        spender = Spender(0.0)
+        spender.set_share(Share(2, 100), 0.0)
+        spender.set_share(Share(9, 100), 20_000.0)
+        self.assertEqual(spender.allowed(21_000.0).calls, 2)
+        self.assertEqual(spender.allowed(31_000.0).calls, 9)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/wigeongw/decisions/rules_test.py
@@ -0,0 +1,248 @@
+"""The small decisions, case by case: retry, fence, ramp, once, membership."""
+
+from dataclasses import replace
+import random
+import unittest
+
+from wigeongw.core.records import EntryHost
+from wigeongw.core.records import HostListing
+from wigeongw.core.records import HostState
+from wigeongw.core.records import Outcome
+from wigeongw.core.records import Upstream
+from wigeongw.decisions import addresses
+from wigeongw.decisions import fence as fences
+from wigeongw.decisions import membership
+from wigeongw.decisions import once
+from wigeongw.decisions import ramp as ramps
+from wigeongw.decisions import retry
+from wigeongw.decisions.fence import Fence
+from wigeongw.decisions.fence import LeaseState
+from wigeongw.decisions.fence import PeerNews
+from wigeongw.decisions.membership import Leaving
+from wigeongw.decisions.once import Claim
+from wigeongw.decisions.once import ClaimState
+from wigeongw.decisions.once import Verdict
+from wigeongw.settings.model import ColdStartSettings
+
+NOT_RUN, RAN, UNKNOWN = Outcome.NOT_RUN, Outcome.RAN, Outcome.UNKNOWN
+RULES = ColdStartSettings(work_per_step=2)
+
+
+class RetryTest(unittest.TestCase):
+    def test_may_send_again(self) -> None:
+        cases = (
+            ("GET", NOT_RUN, 1, False, True),
+            ("GET", UNKNOWN, 1, False, True),
+            ("POST", NOT_RUN, 1, False, True),
+            ("POST", UNKNOWN, 1, False, False),
+            ("PATCH", UNKNOWN, 1, False, False),
+            ("PUT", UNKNOWN, 1, False, True),
+            ("GET", RAN, 1, False, False),
+            ("GET", NOT_RUN, 3, False, False),
+            ("PUT", NOT_RUN, 1, True, False),
+        )
+        for method, outcome, attempts, gone, expected in cases:
+            with self.subTest(method=method, outcome=outcome):
+                found = retry.may_send_again(
+                    method, outcome, attempts, 3, gone
+                )
+                self.assertEqual(found, expected)
+
+    def test_budget_bounds_retries_however_many_fail(self) -> None:
+        budget = retry.Budget(10.0, 0.05, 10.0)
+        retries = 0
+        for _ in range(10_000):
+            budget = retry.earn(budget)
+            left = retry.spend(budget)
+            if left is not None:
+                budget = left
+                retries += 1
+        self.assertLessEqual(retries, 10 + 0.05 * 10_000)
+
+
+class FenceTest(unittest.TestCase):
+    def test_fence_holds(self) -> None:
+        lease = LeaseState(10_000.0, 3_000.0)
+        away = PeerNews(11_900.0, 9_000.0)
+        near = PeerNews(11_900.0, 50.0)
+        silent = PeerNews(5_000.0, 9_000.0)
+        cases: tuple[tuple[str, float, dict[str, PeerNews], bool], ...] = (
+            ("the lease runs", 9_000.0, {}, True),
+            ("it lapses soon", 9_800.0, {"p": near}, False),
+            ("store away for all", 12_000.0, {"p": away}, True),
+            ("one reaches it", 12_000.0, {"p": away, "q": near}, False),
+            ("one is silent", 12_000.0, {"p": away, "q": silent}, False),
+        )
+        for name, now, peers, expected in cases:
+            with self.subTest(name):
+                found = fences.fence_holds(lease, peers, 1_000.0, now)
+                self.assertEqual(found, expected)
+
+    def test_no_lease_no_fence(self) -> None:
+        never = LeaseState(float("-inf"), 0.0)
+        self.assertFalse(fences.fence_holds(never, {}, 1_000.0, 5.0))
+
+    def test_an_older_word_never_wins(self) -> None:
+        known = {"p": Fence("p", "", 9)}
+        heard = [Fence("p", "old", 7)]
+        self.assertEqual(fences.newest(known, heard), known)
+
+    def test_a_stale_reading_gives_nothing_up(self) -> None:
+        known = {"p": Fence("p", "me", 9)}
+        self.assertEqual(fences.missing(known, [], 8), [])
+        gone = [Fence("p", "", 10)]
+        self.assertEqual(fences.missing(known, [], 10), gone)
+
+
+class RampTest(unittest.TestCase):
+    def test_rises_only_on_good_work(self) -> None:
+        ramp = ramps.cold(4, RULES)
+        limits = []
+        for _ in range(6):
+            ramp = ramps.after_good(ramp, RULES, 10.0, 10.0)
+            limits.append(ramp.limit)
+        self.assertEqual(limits, [1, 2, 2, 3, 3, 4])
+        self.assertTrue(ramp.warm)
+
+    def test_slow_work_does_not_count(self) -> None:
+        ramp = ramps.cold(4, RULES)
+        for _ in range(20):
+            ramp = ramps.after_good(ramp, RULES, 100.0, 10.0)
+        self.assertEqual(ramp.limit, 1)
+
+    def test_trouble_makes_cold(self) -> None:
+        warm = ramps.warm(4)
+        cases = (
+            ("shed", ramps.after_shed(warm, RULES, 0.0, 2)),
+            ("unreachable", ramps.after_unreachable(warm, RULES, 0.0)),
+        )
+        for name, after in cases:
+            with self.subTest(name):
+                self.assertEqual(after.limit, 1)
+                self.assertGreater(after.closed_until, 0.0)
+
+    def test_far_slower_than_usual_makes_cold(self) -> None:
+        ramp = ramps.warm(4)
+        for _ in range(40):
+            ramp = ramps.after_good(ramp, RULES, 500.0, 10.0)
+        self.assertFalse(ramp.warm)
+
+    def test_a_stall_of_three_times_keeps_warm(self) -> None:
+        ramp = ramps.warm(4)
+        for _ in range(40):
+            ramp = ramps.after_good(ramp, RULES, 30.0, 10.0)
+        self.assertTrue(ramp.warm)
+
+    def test_pauses_double(self) -> None:
+        ramp = ramps.warm(4)
+        now = 0.0
+        pauses = []
+        for _ in range(6):
+            ramp = ramps.after_unreachable(ramp, RULES, now)
+            pauses.append(ramp.closed_until - now)
+            now = ramp.closed_until
+        self.assertEqual(pauses, [250, 500, 1000, 2000, 4000, 4000])
+
+
+class OnceTest(unittest.TestCase):
+    def test_judge(self) -> None:
+        claim = Claim("mine", "h", "body", ClaimState.CLAIMED, 1_000.0)
+        ran = replace(claim, state=ClaimState.RAN)
+        cases = (
+            ("our own", claim, "mine", "body", 0.0, Verdict.DISPATCH),
+            ("runs", claim, "other", "body", 0.0, Verdict.IN_PROGRESS),
+            ("is over", claim, "other", "body", 2e3, Verdict.UNKNOWN),
+            ("body", claim, "mine", "else", 0.0, Verdict.OTHER_BODY),
+            (
+                "released",
+                replace(claim, state=ClaimState.NOT_RUN),
+                "other",
+                "body",
+                0.0,
+                Verdict.RECLAIM,
+            ),
+            (
+                "unknown",
+                replace(claim, state=ClaimState.UNKNOWN),
+                "mine",
+                "body",
+                0.0,
+                Verdict.UNKNOWN,
+            ),
+            ("gone", ran, "other", "body", 0.0, Verdict.ANSWER_GONE),
+            (
+                "kept",
+                replace(ran, status=200),
+                "other",
+                "body",
+                0.0,
+                Verdict.REPLAY,
+            ),
+        )
+        for name, found, token, digest, wall, expected in cases:
+            with self.subTest(name):
+                verdict = once.judge(found, token, digest, wall)
+                self.assertEqual(verdict, expected)
+
+    def test_a_paused_claimant_may_not_dispatch(self) -> None:
+        self.assertTrue(once.may_dispatch(0.0, 2_000.0, 1_999.0))
+        self.assertFalse(once.may_dispatch(0.0, 2_000.0, 2_000.0))
+
+
+def host(name: str, zone: str, state: HostState = HostState.LIVE) -> EntryHost:
+    return EntryHost(name, f"{name}:1", f"{name}:2", zone, state)
+
+
+class MembershipTest(unittest.TestCase):
+    def test_candidate_is_of_the_pools_zone(self) -> None:
+        hosts = [host("a", "amman"), host("b", "irbid"), host("c", "irbid")]
+        found = membership.candidate("p@irbid", "irbid", hosts)
+        self.assertIn(found, ("b", "c"))
+        leaving = [host("a", "amman"), host("b", "irbid", HostState.LEAVING)]
+        found = membership.candidate("p@irbid", "irbid", leaving)
+        self.assertEqual(found, "a")
+
+    def test_floors_together_stay_within_the_slots(self) -> None:
+        hosts = [f"h{n}" for n in range(17)]
+        upstreams = [f"u{n}" for n in range(7)]
+        given: dict[str, int] = dict.fromkeys(upstreams, 0)
+        for name in hosts:
+            mine = [
+                u
+                for u in upstreams
+                if u in membership.floor_of(name, upstreams, hosts, 4)
+            ]
+            self.assertTrue(mine)
+            for upstream in mine:
+                given[upstream] += 1
+        # A host without a share takes one, so a few upstreams get more.
+        self.assertLessEqual(sum(given.values()), 7 * 4 + 3)
+
+    def test_leaving_sticks_until_unlisted(self) -> None:
+        leaving = membership.note_leaving(Leaving(), ["u"], 0.0)
+        upstream = Upstream("u", "", "s", "z")
+        listing = HostListing((), (upstream,))
+        found = membership.upstreams_of(listing, leaving, "s", "z")
+        self.assertIs(found[0].state, HostState.LEAVING)
+        gone = membership.forget_unlisted(leaving, HostListing())
+        self.assertEqual(gone.until, {})
+
+    def test_addresses(self) -> None:
+        hosts = [
+            host("a", "amman"),
+            host("b", "irbid"),
+            host("c", "irbid", HostState.LEAVING),
+        ]
+        cases: tuple[tuple[str, frozenset[str], str, list[str]], ...] = (
+            ("near first", frozenset(), "irbid", ["b", "a"]),
+            ("zone out", frozenset({"irbid"}), "irbid", ["a"]),
+            ("all out", frozenset({"irbid", "amman"}), "amman", ["a", "b"]),
+        )
+        for name, out, near, expected in cases:
+            with self.subTest(name):
+                found = addresses.answer(hosts, out, near, random.Random(1))
+                self.assertEqual([h.name for h in found], expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
