--- a/wigeongw/decisions/measuring.py
+++ b/wigeongw/decisions/measuring.py
@@ -58,7 +58,7 @@
 
     def __init__(self, now: float) -> None:
         self.sent: deque[float] = deque()
-        self.share = Share(0, 0)
+        self.share: Share | None = None
         self.lower: list[tuple[float, Share]] = []
         self.opens_at = now + WINDOW_MS
 
@@ -70,16 +70,15 @@
         """
         if share == self.share:
             return
-        self.lower.append((now + SETTLE_MS, self.share))
+        if self.share is not None:
+            self.lower.append((now + SETTLE_MS, self.share))
         self.share = share
 
-    def restart(self, now: float) -> None:
-        """Wait a window, as after taking a fence over."""
-        self.opens_at = now + WINDOW_MS
-
     def allowed(self, now: float) -> Share:
         """Return the share that may be spent at this time."""
         self.lower = [(t, s) for t, s in self.lower if now < t]
+        if self.share is None:
+            return Share(0, 0)
         standing = [self.share, *(s for _, s in self.lower)]
         return Share(
             min(s.calls for s in standing),
--- a/wigeongw/decisions/measuring_test.py
+++ b/wigeongw/decisions/measuring_test.py
@@ -81,6 +81,12 @@
             window = [t for t in sent if begin <= t <= begin + 1_000.0]
             self.assertLessEqual(len(window), largest)
 
+    def test_a_new_owner_spends_after_one_window(self) -> None:
+        spender = Spender(0.0)
+        spender.set_share(Share(2, 100), 0.0)
+        self.assertEqual(spender.take(999.0), 0)
+        self.assertEqual(spender.take(1_000.0), 100)
+
     def test_a_larger_share_waits_until_all_have_it(self) -> None:
         spender = Spender(0.0)
         spender.set_share(Share(2, 100), 0.0)
