A holder keeps away from upstreams that refuse connections

Cause: after a power cut the dead zone's grantor was gone too, so entry hosts used their floors there; a floor had no memory, took the same dead upstream again for each request, and the retry budget ran out (356 times 503 not-run).

--- a/wigeongw/decisions/holder.py
+++ b/wigeongw/decisions/holder.py
@@ -46,6 +46,7 @@
 FIRST_WAIT_MS = 0.5
 ASKS_MOST = 32
 LATE_EVERY_MS = 20.0
+CLOSED_MS = 2_000.0
 GAP_WEIGHT = 0.05
 
 
@@ -119,6 +120,7 @@
         self.latency: dict[str, float] = {}
         self.reported: dict[str, float] = {}
         self.serial = config.incarnation << SERIAL_BITS
+        self.closed: dict[str, float] = {}
         self.late_at = float("-inf")
         self.started_at = 0.0
         self.gap_ms = 0.0
@@ -183,6 +185,7 @@
         held = busy.held
         if verdict is Verdict.GOOD:
             self._note_latency(held.upstream, served_ms)
+            self.closed.pop(held.upstream, None)
         pool = self.pools.get(held.pool)
         if pool is None:
             return []
@@ -190,6 +193,8 @@
             held.pool, held.number, held.upstream, verdict, served_ms, start
         )
         out = self._after_use(pool, busy, back, now)
+        if verdict is Verdict.UNREACHABLE:
+            out.extend(self._close(pool, held.upstream, now))
         if self.waiting:
             out.extend(self._serve_floor(now))
         return out
@@ -327,6 +332,18 @@
             ]
         return self._use_or_keep(pool, held, now)
 
+    def _close(self, pool: Pool, upstream: str, now: float) -> list[Effect]:
+        """Keep away from an upstream that refuses connections.
+
+        The grantor hears of it too; this is for idle permits, and for the
+        floor while there is no grantor.
+        """
+        self.closed[upstream] = now + CLOSED_MS
+        kept = [i for i in pool.idle if i.held.upstream != upstream]
+        gone = [i for i in pool.idle if i.held.upstream == upstream]
+        pool.idle = kept
+        return [self._give_back(pool, i.held) for i in gone]
+
     def _revoked(self, pool: Pool, revoke: Revoke) -> list[Effect]:
         kept: list[Idle] = []
         out: list[Effect] = []
@@ -477,6 +494,8 @@
             if pool.view.grantor is not None or not pool.view.is_open:
                 continue
             for upstream in pool.view.floor:
+                if now < self.closed.get(upstream, now):
+                    continue
                 out.extend(self._start_on_floor(pool, upstream))
         return out
 
