--- a/Makefile
+++ b/Makefile
@@ -40,5 +40,11 @@
 fresh: proto
 	git diff --exit-code -- wigeongw/adapters/peer_pb
 
+binary: $(READY)
+	$(BIN)/python -m tools.build_binary
+
+capacity: $(READY)
+	$(BIN)/python -m bench.capacity
+
 clean:
 	rm -rf $(VENV) build dist
--- a/standins/site.py
+++ b/standins/site.py
@@ -11,6 +11,7 @@
 from dataclasses import field
 from dataclasses import replace
 import json
+import os
 import pathlib
 import re
 import signal
@@ -111,6 +112,8 @@
         self.admin: dict[str, str] = {}
         self.platform = ""
         self.folder = pathlib.Path()
+        self.program: tuple[str, ...] = (sys.executable, "-m", "wigeongw")
+        self.environment: dict[str, str] = {}
 
     async def __aenter__(self) -> "SiteProcesses":
         """Open a client session and a folder for files."""
@@ -139,7 +142,12 @@
     async def start_platform(self, lag_ms: float = 100.0) -> None:
         """Start the stand-in for store and host list."""
         process = await self._start(
-            "platform", "standins.platform", "--lag-ms", str(lag_ms)
+            "platform",
+            sys.executable,
+            "-m",
+            "standins.platform",
+            "--lag-ms",
+            str(lag_ms),
         )
         found = await process.line(re.compile(r"\{.*\}"))
         self.platform = json.loads(found[0])["address"]
@@ -158,7 +166,12 @@
         for rule, value in rules.items():
             options += [f"--{rule.replace('_', '-')}", str(value)]
         process = await self._start(
-            wanted[0], "standins.upstream", *wanted, *options
+            wanted[0],
+            sys.executable,
+            "-m",
+            "standins.upstream",
+            *wanted,
+            *options,
         )
         found = await process.line(re.compile(r"\{.*\}"))
         added = tuple(
@@ -170,7 +183,11 @@
         )
 
     async def start_host(
-        self, name: str, availability_zone: str, listed: bool = True
+        self,
+        name: str,
+        availability_zone: str,
+        listed: bool = True,
+        trace_file: str = "",
     ) -> None:
         """Start an entry host and put it on the list."""
         path = self.folder / f"{name}.toml"
@@ -182,12 +199,13 @@
             "store": f"http://{self.platform}",
             "host_list": f"http://{self.platform}/hosts",
             "record_file": str(self.record_file(name)),
+            "trace_file": trace_file,
         }
         path.write_text(
             "".join(f"{k} = {json.dumps(v)}\n" for k, v in values.items())
         )
         process = await self._start(
-            name, "wigeongw", "serve", "--host-settings", str(path)
+            name, *self.program, "serve", "--host-settings", str(path)
         )
         found = await process.line(SERVING)
         self.admin[name] = found[3]
@@ -394,13 +412,11 @@
 
     # Inside
 
-    async def _start(self, name: str, module: str, *options: str) -> Process:
+    async def _start(self, name: str, *command: str) -> Process:
         started = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            module,
-            *options,
+            *command,
             cwd=ROOT,
+            env={**os.environ, **self.environment},
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
         )
--- a/wigeongw/commands/main.py
+++ b/wigeongw/commands/main.py
@@ -4,6 +4,7 @@
 
 from wigeongw.commands import demo
 from wigeongw.commands import record
+from wigeongw.commands import replay
 from wigeongw.commands import serve
 from wigeongw.commands import settings
 from wigeongw.commands import status
@@ -24,6 +25,7 @@
 app.command("demo")(demo.demo)
 app.command("status")(status.status)
 app.command("record")(record.record)
+app.command("replay")(replay.replay)
 app.add_typer(
     settings.app, name="settings", help="Check and publish settings."
 )
--- a/wigeongw/commands/serve.py
+++ b/wigeongw/commands/serve.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import AsyncExitStack
+import functools
 import pathlib
 import random
 import signal
@@ -21,6 +22,7 @@
 from wigeongw.daemon import record
 from wigeongw.daemon.entry_host import EntryHostDaemon
 from wigeongw.daemon.entry_host import Platform
+from wigeongw.decisions.trace import Write
 from wigeongw.settings import check
 from wigeongw.settings import document
 from wigeongw.settings.errors import SettingsError
@@ -65,8 +67,13 @@
             EtcdStore(session, settings.store),
             HttpHostList(session, settings.host_list),
         )
+        write_trace: Write | None = None
+        if settings.trace_file:
+            trace_path = pathlib.Path(settings.trace_file)
+            lines = stack.enter_context(trace_path.open("a"))  # noqa: ASYNC230
+            write_trace = functools.partial(print, file=lines)
         daemon = EntryHostDaemon(
-            settings, platform, Clock(), random.SystemRandom()
+            settings, platform, Clock(), random.SystemRandom(), write_trace
         )
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/wigeongw/daemon/entry_host.py
+++ b/wigeongw/daemon/entry_host.py
@@ -35,6 +35,7 @@
 from wigeongw.daemon.site_keeper import SiteKeeper
 from wigeongw.daemon.store_keeper import StoreKeeper
 from wigeongw.decisions.site import Site
+from wigeongw.decisions.trace import Write
 from wigeongw.ports.host_list import HostList
 from wigeongw.ports.store import Store
 from wigeongw.settings.model import AddressSettings
@@ -72,6 +73,7 @@
         platform: Platform,
         clock: Clock,
         rng: random.Random,
+        write_trace: Write | None = None,
     ) -> None:
         self.settings = settings
         self.platform = platform
@@ -94,6 +96,7 @@
             rng,
             self.record,
             self.metrics,
+            write_trace,
         )
         self.keeper.connect(self.desk, self.peers)
         self.once = OnceDesk(
--- a/wigeongw/daemon/permit_desk.py
+++ b/wigeongw/daemon/permit_desk.py
@@ -23,6 +23,7 @@
 from wigeongw.daemon.record import PLACE
 from wigeongw.daemon.record import Record
 from wigeongw.decisions import site as sites
+from wigeongw.decisions import trace
 from wigeongw.decisions import ways
 from wigeongw.decisions.grantor import Grantor
 from wigeongw.decisions.grantor import UpstreamView
@@ -47,6 +48,7 @@
 from wigeongw.decisions.site import Site
 from wigeongw.ports.peers import Peers
 from wigeongw.settings.model import ServiceSettings
+from wigeongw.settings.model import Settings
 
 INCARNATION_BITS = 30
 BUSY_TICK_MS = 2.0
@@ -74,7 +76,9 @@
         rng: random.Random,
         record: Record,
         metrics: Metrics,
+        write_trace: trace.Write | None = None,
     ) -> None:
+        self.trace = write_trace
         self.site = site
         self.peers = peers
         self.clock = clock
@@ -286,14 +290,18 @@
             self.site.settings.permits,
             rules.slots,
             rules.queue_most,
-            len(sites.entry_hosts(self.site)),
             self.rng.getrandbits(INCARNATION_BITS),
             self.rng,
         )
         known = self.configs.get(service)
         if service not in self.holders or not _same(known, config):
             self.configs[service] = config
-            self.holders[service] = ways.build(config)
+            if self.trace is None:
+                self.holders[service] = ways.build(config)
+            else:
+                self.holders[service] = trace.traced_holder(
+                    service, config, self.trace
+                )
         return self.holders[service]
 
     def _place_grantors(
@@ -312,25 +320,31 @@
             self._log_place(pool, "given-up")
         for pool in sorted(mine):
             if pool not in self.grantors:
-                self.grantors[pool] = Grantor(
-                    pool,
-                    site.settings.permits,
-                    site.settings.cold_start,
-                    sites.takeover(
-                        site, pool, self.rng.getrandbits(INCARNATION_BITS), now
-                    ),
-                    now,
+                self.grantors[pool] = self._new_grantor(
+                    pool, site.settings, now
                 )
                 self._log_place(pool, "taken-up")
             grantor = self.grantors[pool]
-            grantor.rules = site.settings.permits
-            grantor.cold = site.settings.cold_start
+            grantor.set_rules(site.settings.permits, site.settings.cold_start)
             grantor.set_fenced(sites.owns_fence(site, pool, now), now)
             out.extend(grantor.set_open(sites.is_open(site, pool), now))
             slots = site.settings.services[pool_service(pool)].slots
             upstreams = sites.upstreams_of(site, pool)
             out.extend(grantor.set_upstreams(upstreams, slots, now))
 
+    def _new_grantor(
+        self, pool: str, settings: Settings, now: float
+    ) -> Grantor:
+        incarnation = self.rng.getrandbits(INCARNATION_BITS)
+        start = sites.takeover(self.site, pool, incarnation, now)
+        rules, cold = settings.permits, settings.cold_start
+        if self.trace is None:
+            return Grantor(pool, rules, cold, start, now)
+        made: Grantor = trace.traced_grantor(
+            pool, rules, cold, start, now, self.trace
+        )
+        return made
+
     def _log_place(self, pool: str, reason: str) -> None:
         self.record.add(
             PLACE,
--- /dev/null
+++ b/wigeongw/daemon/trace_test.py
@@ -0,0 +1,37 @@
+"""A trace that a daemon wrote is replayed to the same decisions."""
+
+import unittest
+
+from standins.site_case import SiteCase
+from wigeongw.decisions import trace
+from wigeongw.decisions.trace import TraceError
+
+
+class TraceTest(SiteCase):
+    zones = ("amman",)
+
+    async def test_daemon_writes_what_replays(self) -> None:
+        path = self.site.folder / "trace.jsonl"
+        await self.site.start_host("traced", "amman", trace_file=str(path))
+        self.hosts.append("traced")
+        await self.site.wait_revision(1, ["traced"])
+        await self.warm_up()
+        self.site.processes["traced"].terminate()
+        self.assertEqual(await self.site.processes["traced"].wait(9_000.0), 0)
+        lines = path.read_text().splitlines()
+        self.assertGreater(len(lines), 500)
+        self.assertEqual(list(trace.replay(lines)), [])
+        wrong = [line.replace('"Start"', '"Refuse"') for line in lines]
+        self.assertNotEqual(list(trace.replay(wrong)), [])
+
+    async def test_nonsense_names_its_line(self) -> None:
+        for text in ("{", '{"v": 9}', '{"v": 1, "args": []}'):
+            with (
+                self.subTest(text),
+                self.assertRaisesRegex(TraceError, "line 1"),
+            ):
+                list(trace.replay([text]))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wigeongw/decisions/grantor.py
+++ b/wigeongw/decisions/grantor.py
@@ -198,6 +198,13 @@
 
     # Views of the world
 
+    def set_rules(
+        self, rules: PermitSettings, cold: ColdStartSettings
+    ) -> None:
+        """Take in changed settings."""
+        self.rules = rules
+        self.cold = cold
+
     def set_upstreams(
         self, upstreams: Iterable[Upstream], slots: int, now: float
     ) -> list[ToHolder]:
--- a/wigeongw/decisions/holder_test.py
+++ b/wigeongw/decisions/holder_test.py
@@ -25,7 +25,7 @@
 
 def holder(queue_most: int = 10) -> Holder:
     rules = PermitSettings()
-    return Holder(SharingConfig(rules, 4, queue_most, 3, 1, random.Random(1)))
+    return Holder(SharingConfig(rules, 4, queue_most, 1, random.Random(1)))
 
 
 def view(
--- a/wigeongw/decisions/permits_test.py
+++ b/wigeongw/decisions/permits_test.py
@@ -101,7 +101,7 @@
     def _holder(self, host: str) -> Holder:
         number = HOLDERS.index(host) + 1
         rng = random.Random(number)
-        return Holder(SharingConfig(RULES, SLOTS, 100, 3, number, rng))
+        return Holder(SharingConfig(RULES, SLOTS, 100, number, rng))
 
     def take_over(self, name: str) -> None:
         """Let a host become the pool's grantor."""
--- a/wigeongw/decisions/sharing.py
+++ b/wigeongw/decisions/sharing.py
@@ -141,7 +141,6 @@
     Attributes:
         slots: requests that one warm upstream runs side by side.
         queue_most: requests that may wait.
-        hosts_most: entry hosts that may share, for fixed shares.
         incarnation: random, so that numbers never repeat.
         rng: where random choices come from.
     """
@@ -149,7 +148,6 @@
     rules: PermitSettings
     slots: int
     queue_most: int
-    hosts_most: int
     incarnation: int
     rng: random.Random
 
--- a/wigeongw/settings/model.py
+++ b/wigeongw/settings/model.py
@@ -123,22 +123,17 @@
 
 @dataclass(frozen=True, config=CONFIG)
 class RetrySettings:
-    """Sending a request again, and hedging.
+    """Sending a request again.
 
     Attributes:
         budget: retries as a share of requests.
         burst: retries that may be saved up.
         attempts_most: how often one request may be sent in all.
-        hedge_budget: hedged requests as a share of requests.
-        hedge_factor: a request is hedged once it took this many times the
-            usual time; 0 turns hedging off.
     """
 
     budget: Fraction = 0.05
     burst: Count = 10
     attempts_most: Annotated[int, Field(ge=1, le=10)] = 3
-    hedge_budget: Fraction = 0.02
-    hedge_factor: Annotated[float, Field(ge=0, le=1000)] = 0.0
 
 
 @dataclass(frozen=True, config=CONFIG)
