Pools are worked out once a listing, and only when somebody is missed

Cause: with 2,000 and 4,000 upstreams listed one daemon used a whole core: ten times a second it worked out every pool's view, each by a walk over the whole list, and every tick asked for each pool whether its fence holds. Ruled out: reading the list (0.5 s apart, parse alone far below it).

Change: the list is sorted into pools when it changes; grantors are worked out together; the regular look ends early when the same hosts are heard; the lease is judged once a tick.

--- a/wigeongw/daemon/measurer.py
+++ b/wigeongw/daemon/measurer.py
@@ -56,8 +56,9 @@
             return
         now = self.clock.now()
         shares = measuring.shares(site.settings)
+        holds = sites.lease_holds(site, now)
         for pool, share in shares.items():
-            if not sites.owns_fence(site, pool, now):
+            if not sites.owns_fence(site, pool, holds):
                 self.spenders.pop(pool, None)
                 continue
             spender = self.spenders.get(pool)
--- a/wigeongw/daemon/own_answers.py
+++ b/wigeongw/daemon/own_answers.py
@@ -125,19 +125,26 @@
                 }
                 for h in sites.entry_hosts(site)
             ],
-            "pools": [self._pool(site, p, now) for p in sites.pools(site)],
+            "pools": [
+                self._pool(site, pool, host, now)
+                for pool, host in sites.grantors(site, now).items()
+            ],
         }
 
-    def _pool(self, site: Site, pool: str, now: float) -> dict[str, Any]:
+    def _pool(
+        self, site: Site, pool: str, host: str | None, now: float
+    ) -> dict[str, Any]:
         fence = site.fences.get(pool)
         grantor = self.desk.grantors.get(pool)
         queued = len(grantor.queue) if grantor else None
         return {
             "pool": pool,
             "open": sites.is_open(site, pool),
-            "grantor": sites.grantor_of(site, pool, now),
+            "grantor": host,
             "fence": asdict(fence) if fence else None,
-            "fenced": sites.owns_fence(site, pool, now),
+            "fenced": sites.owns_fence(
+                site, pool, sites.lease_holds(site, now)
+            ),
             "queued": queued,
             "settled": grantor is not None
             and not grantor.unheard
--- a/wigeongw/daemon/permit_desk.py
+++ b/wigeongw/daemon/permit_desk.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import random
 
@@ -141,10 +142,11 @@
         self.upstreams = {u.name: u for u in site.listing.upstreams}
         now = self.clock.now()
         out: list[Effect | ToHolder] = []
-        self._place_grantors(now, out)
+        chosen = sites.grantors(site, now)
+        self._place_grantors(chosen, now, out)
         for service, rules in site.settings.services.items():
             holder = self._holder(service, rules)
-            views = sites.service_views(site, service, now)
+            views = sites.service_views(site, service, chosen)
             out.extend(holder.set_view(views, now))
         for service in [
             s for s in self.holders if s not in site.settings.services
@@ -204,8 +206,9 @@
         """Do what is due by now."""
         now = self.clock.now()
         out: list[Effect | ToHolder] = []
+        holds = sites.lease_holds(self.site, now)
         for pool, grantor in self.grantors.items():
-            grantor.set_fenced(sites.owns_fence(self.site, pool, now), now)
+            grantor.set_fenced(sites.owns_fence(self.site, pool, holds), now)
             out.extend(grantor.tick(now))
         for holder in self.holders.values():
             out.extend(holder.tick(now))
@@ -305,16 +308,16 @@
         return self.holders[service]
 
     def _place_grantors(
-        self, now: float, out: list[Effect | ToHolder]
+        self,
+        chosen: Mapping[str, str | None],
+        now: float,
+        out: list[Effect | ToHolder],
     ) -> None:
         """Take up and give up pools as the site's state says."""
         site = self.site
         assert site.settings is not None
-        mine = {
-            pool
-            for pool in sites.pools(site)
-            if sites.grantor_of(site, pool, now) == site.me.name
-        }
+        mine = {p for p, host in chosen.items() if host == site.me.name}
+        holds = sites.lease_holds(site, now)
         for pool in [p for p in self.grantors if p not in mine]:
             del self.grantors[pool]
             self._log_place(pool, "given-up")
@@ -326,7 +329,7 @@
                 self._log_place(pool, "taken-up")
             grantor = self.grantors[pool]
             grantor.set_rules(site.settings.permits, site.settings.cold_start)
-            grantor.set_fenced(sites.owns_fence(site, pool, now), now)
+            grantor.set_fenced(sites.owns_fence(site, pool, holds), now)
             out.extend(grantor.set_open(sites.is_open(site, pool), now))
             slots = site.settings.services[pool_service(pool)].slots
             upstreams = sites.upstreams_of(site, pool)
--- a/wigeongw/daemon/site_keeper.py
+++ b/wigeongw/daemon/site_keeper.py
@@ -15,6 +15,7 @@
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
 from wigeongw.core.identity import pool_zone
+from wigeongw.core.records import EntryHost
 from wigeongw.core.records import HostListing
 from wigeongw.core.records import HostState
 from wigeongw.core.records import Revision
@@ -56,6 +57,7 @@
         self.peers: Peers | None = None
         self.revised = asyncio.Event()
         self.fetched_at: dict[str, float] = {}
+        self.near: tuple[EntryHost, ...] = ()
 
     def connect(self, desk: PermitDesk, peers: Peers) -> None:
         """Join the parts that this one talks to."""
@@ -79,7 +81,8 @@
         if listing == self.site.listing and leaving == self.site.leaving:
             return
         assert self.peers is not None
-        self._set(replace(self.site, listing=listing, leaving=leaving))
+        site = replace(self.site, leaving=leaving)
+        self._set(sites.with_listing(site, listing))
         self.peers.set_hosts(sites.entry_hosts(self.site))
 
     def on_fences(self, heard: Iterable[Fence]) -> None:
@@ -278,7 +281,9 @@
 
     def _look(self) -> None:
         """Let the desk see who has fallen silent since."""
-        if self.desk is not None:
+        near = sites.reachable(self.site, self.clock.now())
+        if near != self.near and self.desk is not None:
+            self.near = near
             self.desk.set_site(self.site)
 
     @staticmethod
--- a/wigeongw/daemon/store_keeper.py
+++ b/wigeongw/daemon/store_keeper.py
@@ -197,12 +197,12 @@
         """Return the pools whose fence is free and should be ours."""
         site = self.keeper.site
         now = self.clock.now()
-        return [
+        free = (
             pool
             for pool in sites.pools(site)
-            if (pool not in site.fences or not site.fences[pool].host)
-            and sites.is_candidate(site, pool, now)
-        ]
+            if pool not in site.fences or not site.fences[pool].host
+        )
+        return [p for p in free if sites.is_candidate(site, p, now)]
 
     def _settle(self) -> None:
         """Begin to wait for the others once the host list was read."""
@@ -231,11 +231,12 @@
         """Return own pools that have belonged elsewhere for a while."""
         site = self.keeper.site
         now = self.clock.now()
+        known = set(sites.pools(site))
         misplaced = {
             pool: self.misplaced.get(pool, now)
             for pool, fence in site.fences.items()
             if fence.host == site.me.name
-            and pool in sites.pools(site)
+            and pool in known
             and not sites.is_candidate(site, pool, now)
         }
         self.misplaced = misplaced
--- a/wigeongw/decisions/membership.py
+++ b/wigeongw/decisions/membership.py
@@ -48,17 +48,13 @@
     return Leaving({n: t for n, t in leaving.until.items() if n in listed})
 
 
-def upstreams_of(
-    listing: HostListing,
-    leaving: Leaving,
-    service: str,
-    availability_zone: str,
+def with_leaving(
+    upstreams: Iterable[Upstream], leaving: Leaving
 ) -> tuple[Upstream, ...]:
-    """Return a pool's upstreams with the first sign of leaving applied."""
+    """Return upstreams with the first sign of leaving applied."""
     return tuple(
         replace(u, state=HostState.LEAVING) if u.name in leaving.until else u
-        for u in listing.upstreams
-        if u.service == service and u.availability_zone == availability_zone
+        for u in upstreams
     )
 
 
--- a/wigeongw/decisions/rules_test.py
+++ b/wigeongw/decisions/rules_test.py
@@ -222,7 +222,7 @@
         leaving = membership.note_leaving(Leaving(), ["u"], 0.0)
         upstream = Upstream("u", "", "s", "z")
         listing = HostListing((), (upstream,))
-        found = membership.upstreams_of(listing, leaving, "s", "z")
+        found = membership.with_leaving(listing.upstreams, leaving)
         self.assertIs(found[0].state, HostState.LEAVING)
         gone = membership.forget_unlisted(leaving, HostListing())
         self.assertEqual(gone.until, {})
--- a/wigeongw/decisions/site.py
+++ b/wigeongw/decisions/site.py
@@ -44,6 +44,7 @@
         links_up: hosts to which the own stream stands.
         store_heard_at: when the store last answered this host.
         upstreams: the last word of each upstream's grantor.
+        by_pool: the listed upstreams of each pool.
     """
 
     me: EntryHost
@@ -58,6 +59,20 @@
     lease: LeaseState = LeaseState(NEVER, 0.0)
     store_heard_at: float = NEVER
     upstreams: Mapping[str, UpstreamView] = field(default_factory=dict)
+    by_pool: Mapping[str, tuple[Upstream, ...]] = field(default_factory=dict)
+
+
+def with_listing(site: Site, listing: HostListing) -> Site:
+    """Take in a host list; its upstreams are sorted into pools once."""
+    by_pool: dict[str, list[Upstream]] = {}
+    for upstream in listing.upstreams:
+        pool = pool_name(upstream.service, upstream.availability_zone)
+        by_pool.setdefault(pool, []).append(upstream)
+    return replace(
+        site,
+        listing=listing,
+        by_pool={pool: tuple(found) for pool, found in by_pool.items()},
+    )
 
 
 def entry_hosts(site: Site) -> tuple[EntryHost, ...]:
@@ -112,18 +127,22 @@
 
 def upstreams_of(site: Site, pool: str) -> tuple[Upstream, ...]:
     """Return a pool's upstreams, with those that leave marked."""
-    return membership.upstreams_of(
-        site.listing, site.leaving, pool_service(pool), pool_zone(pool)
-    )
+    return membership.with_leaving(site.by_pool.get(pool, ()), site.leaving)
 
 
-def grantor_of(site: Site, pool: str, now: float) -> str | None:
-    """Return whom to ask for permits of a pool, or None while cut off.
+def grantors(site: Site, now: float) -> dict[str, str | None]:
+    """Return whom to ask for permits of each pool, None while cut off.
 
     A fence's owner that fell silent keeps the pool until it is suspect, so
     that a short break does not make two grantors.
     """
     near = reachable(site, now)
+    return {pool: _grantor_of(site, pool, near) for pool in pools(site)}
+
+
+def _grantor_of(
+    site: Site, pool: str, near: tuple[EntryHost, ...]
+) -> str | None:
     names = {h.name for h in near}
     fence = site.fences.get(pool)
     if fence is not None and fence.host in names:
@@ -142,10 +161,9 @@
     return found == site.me.name
 
 
-def owns_fence(site: Site, pool: str, now: float) -> bool:
-    """Whether no other entry host can be the pool's grantor."""
-    fence = site.fences.get(pool)
-    if fence is None or fence.host != site.me.name or not site.settings:
+def lease_holds(site: Site, now: float) -> bool:
+    """Whether the fences that are ours still exclude everybody else."""
+    if site.settings is None:
         return False
     others = {
         h.name: site.news.get(h.name, PeerNews(NEVER, 0.0))
@@ -156,6 +174,18 @@
     )
 
 
+def owns_fence(site: Site, pool: str, holds: bool) -> bool:
+    """Whether no other entry host can be the pool's grantor.
+
+    Args:
+        site: what is known.
+        pool: which.
+        holds: what lease_holds said at this moment.
+    """
+    fence = site.fences.get(pool)
+    return holds and fence is not None and fence.host == site.me.name
+
+
 def takeover(site: Site, pool: str, incarnation: int, now: float) -> Takeover:
     """Return what a new grantor of a pool starts from.
 
@@ -180,12 +210,11 @@
     return 2.0 * zone.distance_ms if zone else 0.0
 
 
-def pool_view(site: Site, pool: str, now: float) -> PoolView:
+def pool_view(site: Site, pool: str, grantor: str | None) -> PoolView:
     """Return what this entry host's holder needs to know of a pool."""
     names = tuple(
         u.name for u in upstreams_of(site, pool) if u.state is HostState.LIVE
     )
-    grantor = grantor_of(site, pool, now)
     floor: tuple[str, ...] = ()
     if grantor is None or _shares_are_fixed(site):
         floor = _floor(site, pool, names)
@@ -199,10 +228,21 @@
     )
 
 
-def service_views(site: Site, service: str, now: float) -> list[PoolView]:
-    """Return the views of a service's pools, nearest first."""
-    mine = [p for p in pools(site) if pool_service(p) == service]
-    views = [pool_view(site, p, now) for p in mine]
+def service_views(
+    site: Site, service: str, chosen: Mapping[str, str | None]
+) -> list[PoolView]:
+    """Return the views of a service's pools, nearest first.
+
+    Args:
+        site: what is known.
+        service: which.
+        chosen: the grantors of all pools.
+    """
+    assert site.settings is not None
+    names = (
+        pool_name(service, zone) for zone in site.settings.availability_zones
+    )
+    views = [pool_view(site, pool, chosen[pool]) for pool in names]
     return sorted(views, key=lambda v: v.round_trip_ms)
 
 
