--- a/wigeongw/adapters/etcd_store.py
+++ b/wigeongw/adapters/etcd_store.py
@@ -23,7 +23,6 @@
 from wigeongw.ports.store import Snapshot
 
 TIMEOUT_MS = 1_500.0
-LINE_MOST_BYTES = 8 << 20
 
 FAILURES = (
     aiohttp.ClientError,
--- a/wigeongw/commands/demo.py
+++ b/wigeongw/commands/demo.py
@@ -130,9 +130,9 @@
 
 async def _start_upstreams(stack: AsyncExitStack) -> list[Upstream]:
     """Start the stand-ins; they live outside the product's package."""
-    from standins.upstream import Connection
-    from standins.upstream import Rules
-    from standins.upstream import UpstreamStandIn
+    from standins.upstream_http import Connection
+    from standins.upstream_model import Rules
+    from standins.upstream_model import UpstreamStandIn
 
     rules = Rules(cold_work=20, work_ms=12.0, sigma=0.6, stall_every_ms=5e3)
     listed: list[Upstream] = []
--- a/wigeongw/commands/status.py
+++ b/wigeongw/commands/status.py
@@ -56,7 +56,15 @@
             f"  {host['name']:<16} {host['availability_zone']:<14} "
             f"{host['state']:<8} {heard}"
         )
+    for service, left in found["retries_left"].items():
+        lines.append(f"{service}: {left} retries left")
     for pool in found["pools"]:
+        spent = found["measuring"].get(pool["pool"])
+        if spent:
+            lines.append(
+                f"{pool['pool']}: measuring {spent['used']} of "
+                f"{spent['share']} calls this second"
+            )
         fenced = " (fence is ours)" if pool["fenced"] else ""
         lines.append(
             f"{pool['pool']}: grantor {pool['grantor'] or 'none'}{fenced}"
--- a/wigeongw/core/identity.py
+++ b/wigeongw/core/identity.py
@@ -10,7 +10,6 @@
 import xxhash
 
 ID_BITS = 64
-SERIAL_BITS = 40
 
 
 def pool_name(service: str, availability_zone: str) -> str:
--- a/wigeongw/daemon/answer_test.py
+++ b/wigeongw/daemon/answer_test.py
@@ -9,7 +9,7 @@
 import aiohttp
 
 from standins.site_case import SiteCase
-from standins.upstream import file_bytes
+from standins.upstream_model import file_bytes
 
 FILE = 300_000
 
--- a/wigeongw/daemon/dispatcher.py
+++ b/wigeongw/daemon/dispatcher.py
@@ -81,6 +81,7 @@
 
     Attributes:
         small: the whole body when it was small, else None.
+        took_ms: from sending to the head, or to the end of a small body.
     """
 
     def __init__(
@@ -90,6 +91,7 @@
         self.held = held
         self.finish = finish
         self.small: bytes | None = None
+        self.took_ms = 0.0
         self.open = True
 
     def body(self) -> AsyncIterator[bytes]:
@@ -231,6 +233,7 @@
             if reply.leaving:
                 self.note_leaving(held.upstream)
             await self._read_small(request, exchange)
+            exchange.took_ms = self.clock.now() - began
             kept = True
             self.metrics.time(seen.head_ms, "upstream", held.upstream)
             return exchange
--- a/wigeongw/daemon/entry_host.py
+++ b/wigeongw/daemon/entry_host.py
@@ -161,13 +161,19 @@
         )
         self._take_addresses(client_socket, admin_socket, peer_address)
         front = self._front_door(upstreams)
-        status = Status(self.desk, self.stop.is_set, self.clock)
-        admin = admin_app(
-            status, MetricsText(self.metrics), SettingsText(self._text)
-        )
         measurer = Measurer(
             self.desk, self.keeper, upstreams, self.clock, self.metrics
         )
+        status = Status(
+            self.desk,
+            front.dispatcher,
+            measurer,
+            self.stop.is_set,
+            self.clock,
+        )
+        admin = admin_app(
+            status, MetricsText(self.metrics), SettingsText(self._text)
+        )
         for work in self._works(measurer):
             self._start(stack, work)
         return [
--- a/wigeongw/daemon/front_door.py
+++ b/wigeongw/daemon/front_door.py
@@ -115,6 +115,9 @@
         finally:
             took = self.clock.now() - began
             self.metrics.time(took, "request", service, outcome.value)
+            if answer.upstream_ms:
+                added = took - answer.upstream_ms
+                self.metrics.time(added, "added", service)
 
     @staticmethod
     def _service(settings: Settings, path: str) -> str:
@@ -177,6 +180,8 @@
         reply = exchange.reply
         headers = answer_headers(reply.headers, request.identity, Outcome.RAN)
         download = Download(self.dispatcher, request, exchange)
+        if exchange.small is not None:
+            answer.upstream_ms = exchange.took_ms
         whole = False
         try:
             await answer.start(reply.status, headers)
@@ -242,13 +247,18 @@
 
 
 class Answer:
-    """The answer to one request; knows how much of it has gone."""
+    """The answer to one request; knows how much of it has gone.
+
+    Attributes:
+        upstream_ms: what the upstream took for a small answer; 0 for others.
+    """
 
     def __init__(self, send: Send, closing: bool) -> None:
         self.send = send
         self.closing = closing
         self.started = False
         self.ended = False
+        self.upstream_ms = 0.0
 
     async def start(
         self, status: int, headers: list[tuple[bytes, bytes]]
--- a/wigeongw/daemon/own_answers.py
+++ b/wigeongw/daemon/own_answers.py
@@ -10,6 +10,8 @@
 
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import MS_PER_S
+from wigeongw.daemon.dispatcher import Dispatcher
+from wigeongw.daemon.measurer import Measurer
 from wigeongw.daemon.metrics import Metrics
 from wigeongw.daemon.permit_desk import PermitDesk
 from wigeongw.decisions import addresses
@@ -86,9 +88,16 @@
     """Shows what this entry host believes."""
 
     def __init__(
-        self, desk: PermitDesk, is_leaving: Callable[[], bool], clock: Clock
+        self,
+        desk: PermitDesk,
+        dispatcher: Dispatcher,
+        measurer: Measurer,
+        is_leaving: Callable[[], bool],
+        clock: Clock,
     ) -> None:
         self.desk = desk
+        self.dispatcher = dispatcher
+        self.measurer = measurer
         self.is_leaving = is_leaving
         self.clock = clock
 
@@ -115,6 +124,17 @@
                 service: holder.waiting_count()
                 for service, holder in self.desk.holders.items()
             },
+            "retries_left": {
+                service: round(budget.tokens, 2)
+                for service, budget in self.dispatcher.budgets.items()
+            },
+            "measuring": {
+                pool: {
+                    "used": spender.used(now),
+                    "share": spender.allowed(now).calls,
+                }
+                for pool, spender in self.measurer.spenders.items()
+            },
             "zones_out": sorted(sites.zones_out(site)),
             "entry_hosts": [
                 {
--- a/wigeongw/decisions/holder.py
+++ b/wigeongw/decisions/holder.py
@@ -7,11 +7,14 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass
-from dataclasses import field
 from dataclasses import replace
 from itertools import islice
 
+from wigeongw.decisions.held import AskSent
+from wigeongw.decisions.held import Busy
+from wigeongw.decisions.held import Idle
+from wigeongw.decisions.held import Pool
+from wigeongw.decisions.held import Waiting
 from wigeongw.decisions.messages import Ask
 from wigeongw.decisions.messages import Cancel
 from wigeongw.decisions.messages import Grant
@@ -37,76 +40,17 @@
 from wigeongw.decisions.sharing import Wanted
 
 SERIAL_BITS = 32
-PRESSURE_LASTS_MS = 20.0
 IDLE_MOST_MS = 3_000.0
 REPORT_EVERY_MS = 50.0
 RENEWALS_PER_LIFETIME = 3.0
 WAIT_WEIGHT = 0.1
 LATENCY_WEIGHT = 0.1
-FIRST_WAIT_MS = 0.5
 ASKS_MOST = 32
 LATE_EVERY_MS = 20.0
 CLOSED_MS = 2_000.0
 GAP_WEIGHT = 0.05
 
 
-@dataclass(frozen=True, slots=True)
-class Waiting:
-    """A request in line."""
-
-    wanted: Wanted
-    since: float
-
-
-@dataclass(frozen=True, slots=True)
-class AskSent:
-    """An ask that has not been answered."""
-
-    asked_at: float
-    ends_at: float
-
-
-@dataclass(frozen=True, slots=True)
-class Idle:
-    """A permit that no request uses."""
-
-    held: Held
-    since: float
-
-
-@dataclass(frozen=True, slots=True)
-class Busy:
-    """A permit that a request uses."""
-
-    held: Held
-    ends_at: float
-    is_floor: bool
-
-
-@dataclass(slots=True)
-class Pool:
-    """What is held and asked for in one pool."""
-
-    view: PoolView
-    idle: list[Idle] = field(default_factory=list)
-    asks: dict[int, AskSent] = field(default_factory=dict)
-    renewals: dict[int, float] = field(default_factory=dict)
-    pressed_until: float = float("-inf")
-    queue_since: float = float("inf")
-    renewed_at: float = float("-inf")
-    registered: bool = False
-    wait_ms: float = FIRST_WAIT_MS
-
-    def pressed(self, now: float) -> bool:
-        """Whether others wait for permits of this pool."""
-        return now < self.pressed_until
-
-    def press(self, queued_ms: float, now: float) -> None:
-        """Note that others wait, the first of them for a while already."""
-        self.pressed_until = now + PRESSURE_LASTS_MS
-        self.queue_since = now - queued_ms
-
-
 @sharing("permits")
 class Holder:
     """Holds permits for one service; every method takes the time in ms."""
--- a/wigeongw/decisions/measuring.py
+++ b/wigeongw/decisions/measuring.py
@@ -85,6 +85,12 @@
             min(s.call_bytes for s in standing),
         )
 
+    def used(self, now: float) -> int:
+        """Return the calls of the window that ends now."""
+        while self.sent and now - self.sent[0] > WINDOW_MS:
+            self.sent.popleft()
+        return len(self.sent)
+
     def take(self, now: float) -> int:
         """Take the right to one call.
 
@@ -94,10 +100,8 @@
         Returns:
             The bytes that the call may take; 0 when none is allowed.
         """
-        while self.sent and now - self.sent[0] > WINDOW_MS:
-            self.sent.popleft()
         share = self.allowed(now)
-        if now < self.opens_at or len(self.sent) >= share.calls:
+        if now < self.opens_at or self.used(now) >= share.calls:
             return 0
         self.sent.append(now)
         return share.call_bytes
--- a/wigeongw/decisions/membership.py
+++ b/wigeongw/decisions/membership.py
@@ -16,7 +16,6 @@
 from wigeongw.core.records import HostListing
 from wigeongw.core.records import HostState
 from wigeongw.core.records import Upstream
-from wigeongw.decisions.fence import Fence
 
 LEAVING_STICKS_MS = 60_000.0
 
@@ -99,23 +98,6 @@
     return next(iter(rendezvous(pool, names)), None)
 
 
-def grantor_of(
-    pool: str,
-    availability_zone: str,
-    fence: Fence | None,
-    hosts: Iterable[EntryHost],
-) -> str | None:
-    """Return whom to ask for permits of a pool.
-
-    The owner of the fence goes first as long as it is reachable. Without it
-    the candidate shares out warm upstreams, unfenced.
-    """
-    found = tuple(hosts)
-    if fence is not None and any(h.name == fence.host for h in found):
-        return fence.host
-    return candidate(pool, availability_zone, found)
-
-
 def floor_of(
     me: str, upstreams: Iterable[str], hosts: Iterable[str], slots: int
 ) -> tuple[str, ...]:
--- a/wigeongw/decisions/retry.py
+++ b/wigeongw/decisions/retry.py
@@ -13,7 +13,6 @@
 IDEMPOTENT_METHODS = frozenset(
     ("GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE")
 )
-SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "TRACE"))
 
 
 @dataclass(frozen=True, slots=True)
