A line outlives a change of settings; what is gone is forgotten

Cause, three found by reading: a changed queue_most, slots or way of sharing built a new holder and forgot the requests that waited at the old one, which then hung past every deadline; a new grantor waited for every entry host ever heard, however long ago it had been replaced; an endless body above the limit ended as 502, for the client library wraps what its writer raises. Ruled out: the desk's futures (kept, but nobody was left to resolve them).

Change: the line moves to the new holder, requests that run give their permits back where they got them; hosts neither listed nor heard for the longest deadline do not hold a takeover up, and old news is dropped with the listing; the body remembers its refusal.

--- a/wigeongw/daemon/answer_test.py
+++ b/wigeongw/daemon/answer_test.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections.abc import AsyncIterator
 import unittest
 
 import aiohttp
@@ -105,7 +106,7 @@
         self.assertEqual(head.headers["Content-Length"], "1000")
 
     async def test_large_body_streams_up(self) -> None:
-        async def pieces():  # type: ignore[no-untyped-def]
+        async def pieces() -> AsyncIterator[bytes]:
             for _ in range(50):
                 yield b"x" * 40_000
 
--- a/wigeongw/daemon/front_door.py
+++ b/wigeongw/daemon/front_door.py
@@ -156,7 +156,10 @@
         async with _leave_with_client(job.body, answer):
             if keyed and job.fields.key:
                 return await self._serve_once(request, job.fields, answer)
-            exchange = await self.dispatcher.open(request)
+            try:
+                exchange = await self.dispatcher.open(request)
+            except Problem as problem:
+                raise job.body.refusal or problem from problem
             return await self._relay(request, exchange, answer)
 
     async def _body(
@@ -346,13 +349,18 @@
 
 
 class _Body:
-    """The body of a request, read once."""
+    """The body of a request, read once.
+
+    Attributes:
+        refusal: why a body that was being passed on had to be refused.
+    """
 
     def __init__(self, receive: Receive, fields: Fields) -> None:
         self.receive = receive
         self.most = fields.body_most
         self.ended = fields.length == 0
         self.size = 0
+        self.refusal: Problem | None = None
         self.changed = asyncio.Event()
         if self.ended:
             self.changed.set()
@@ -385,12 +393,13 @@
             chunk = message.get("body", b"")
             self.size += len(chunk)
             if self.size > self.most:
-                raise Problem(
+                self.refusal = Problem(
                     413,
                     "The body is too large",
                     f"at most {self.most} bytes",
                     Outcome.UNKNOWN,
                 )
+                raise self.refusal
             if chunk:
                 yield chunk
             if not message.get("more_body"):
--- a/wigeongw/daemon/outcome_test.py
+++ b/wigeongw/daemon/outcome_test.py
@@ -1,6 +1,7 @@
 """What a client is told is true: not run, ran or unknown."""
 
 import asyncio
+from collections.abc import AsyncIterator
 import signal
 import unittest
 
@@ -83,6 +84,24 @@
                 self.assertEqual((status, outcome), (expected, "not-run"))
         self.assertEqual(await self.ran(), before)
 
+    async def test_endless_body_is_refused(self) -> None:
+        async def pieces() -> AsyncIterator[bytes]:
+            for _ in range(40):
+                yield b"x" * 50_000
+
+        services = {
+            "dial-watch": {
+                "paths": ["/dial-watch"],
+                "body_most_bytes": 1_000_000,
+            }
+        }
+        await self.site.publish(self.text(services=services))
+        await self.site.wait_revision(2, self.hosts)
+        status, outcome, _ = await self.send(
+            self.hosts[0], "PUT", "/dial-watch/up", data=pieces()
+        )
+        self.assertEqual((status, outcome), (413, "unknown"))
+
     async def test_smuggling_is_refused(self) -> None:
         before = await self.ran()
         cases = (
--- a/wigeongw/daemon/permit_desk.py
+++ b/wigeongw/daemon/permit_desk.py
@@ -91,6 +91,8 @@
         self.grantors: dict[str, Grantor] = {}
         self.futures: dict[str, asyncio.Future[Held]] = {}
         self.upstreams: dict[str, Upstream] = {}
+        self.owners: dict[str, Sharing] = {}
+        self.moved: dict[str, list[Wanted]] = {}
         self.work: deque[Effect | ToHolder] = deque()
         self.working = False
 
@@ -126,7 +128,7 @@
         start: str = "",
     ) -> None:
         """Give the permit of a request back with what was seen."""
-        holder = self.holders.get(service)
+        holder = self.owners.pop(request, None)
         if holder is None:
             return
         now = self.clock.now()
@@ -148,10 +150,13 @@
             holder = self._holder(service, rules)
             views = sites.service_views(site, service, chosen)
             out.extend(holder.set_view(views, now))
+            for wanted in self.moved.pop(service, ()):
+                out.extend(holder.want(wanted, now))
         for service in [
             s for s in self.holders if s not in site.settings.services
         ]:
-            del self.holders[service]
+            line = self.holders.pop(service).give_up_line()
+            out.extend(Refuse(w.request, Refusal.NO_UPSTREAM) for w in line)
         self._do(out)
 
     def on_holder(self, host: str, messages: Sequence[HolderMessage]) -> None:
@@ -244,9 +249,10 @@
             self.peers.to_holder(effect.host, effect.message)
 
     def _start(self, start: Start) -> None:
+        service = pool_service(start.held.pool)
+        self.owners[start.request] = self.holders[service]
         future = self.futures.get(start.request)
         if future is None or future.done():
-            service = pool_service(start.held.pool)
             self.release(service, start.request, Verdict.UNUSED)
             return
         future.set_result(start.held)
@@ -298,6 +304,8 @@
         )
         known = self.configs.get(service)
         if service not in self.holders or not _same(known, config):
+            if service in self.holders:
+                self.moved[service] = self.holders[service].give_up_line()
             self.configs[service] = config
             if self.trace is None:
                 self.holders[service] = ways.build(config)
--- a/wigeongw/daemon/settings_in_force_test.py
+++ b/wigeongw/daemon/settings_in_force_test.py
@@ -129,6 +129,25 @@
         )
         self.assertIn((status, outcome), ((200, "ran"), (504, "not-run")))
 
+    async def test_requests_in_line_outlive_a_change(self) -> None:
+        """Failed first: the line was forgotten with the old settings."""
+        await self.warm_up()
+        slow = [
+            asyncio.create_task(
+                self.send(
+                    self.hosts[n % 3], "GET", "/dial-watch/x?work_ms=1500"
+                )
+            )
+            for n in range(16)
+        ]
+        await asyncio.sleep(0.4)
+        services = {"dial-watch": {"paths": ["/dial-watch"], "queue_most": 9}}
+        await self.site.publish(self.text(services=services))
+        await self.site.wait_revision(2, self.hosts)
+        async with asyncio.timeout(20.0):
+            answers = await asyncio.gather(*slow)
+        self.assertEqual([a[:2] for a in answers], [(200, "ran")] * 16)
+
     async def test_history_and_show(self) -> None:
         path = self.file("a.toml", 1001.0)
         await self.publish_file(path, "--why=longer", "--who=mona")
--- a/wigeongw/daemon/site_keeper.py
+++ b/wigeongw/daemon/site_keeper.py
@@ -82,7 +82,7 @@
             return
         assert self.peers is not None
         site = replace(self.site, leaving=leaving)
-        self._set(sites.with_listing(site, listing))
+        self._set(sites.with_listing(site, listing, now))
         self.peers.set_hosts(sites.entry_hosts(self.site))
 
     def on_fences(self, heard: Iterable[Fence]) -> None:
--- a/wigeongw/decisions/holder.py
+++ b/wigeongw/decisions/holder.py
@@ -175,6 +175,12 @@
         """Return how many requests wait."""
         return len(self.waiting)
 
+    def give_up_line(self) -> list[Wanted]:
+        """Let go of the requests that wait, oldest first."""
+        line = [w.wanted for w in self.waiting.values()]
+        self.waiting.clear()
+        return line
+
     # Asking
 
     def _balance_asks(self, now: float) -> list[Effect]:
--- a/wigeongw/decisions/local_sharing.py
+++ b/wigeongw/decisions/local_sharing.py
@@ -94,6 +94,10 @@
         """Return that none wait."""
         return 0
 
+    def give_up_line(self) -> list[Wanted]:
+        """Return that none wait."""
+        return []
+
     def count(self, upstream: str) -> int:
         """Return this entry host's own requests in flight."""
         return self.in_flight.get(upstream, 0)
@@ -189,3 +193,9 @@
     def waiting_count(self) -> int:
         """Return how many requests wait."""
         return len(self.waiting)
+
+    def give_up_line(self) -> list[Wanted]:
+        """Let go of the requests that wait, oldest first."""
+        line = list(self.waiting.values())
+        self.waiting.clear()
+        return line
--- a/wigeongw/decisions/sharing.py
+++ b/wigeongw/decisions/sharing.py
@@ -133,6 +133,9 @@
     def waiting_count(self) -> int:
         """Return how many requests wait."""
 
+    def give_up_line(self) -> list[Wanted]:
+        """Let go of the requests that wait, oldest first."""
+
 
 @dataclass(frozen=True, slots=True)
 class SharingConfig:
--- a/wigeongw/decisions/site.py
+++ b/wigeongw/decisions/site.py
@@ -29,6 +29,7 @@
 
 NEVER = float("-inf")
 FIXED = "fixed"
+FORGET_MS = 86_400_000.0
 
 
 @dataclass(frozen=True)
@@ -62,8 +63,13 @@
     by_pool: Mapping[str, tuple[Upstream, ...]] = field(default_factory=dict)
 
 
-def with_listing(site: Site, listing: HostListing) -> Site:
-    """Take in a host list; its upstreams are sorted into pools once."""
+def with_listing(site: Site, listing: HostListing, now: float) -> Site:
+    """Take in a host list; its upstreams are sorted into pools once.
+
+    What was known of hosts and upstreams that are long gone is forgotten.
+    """
+    hosts = {h.name for h in listing.entry_hosts}
+    names = {u.name for u in listing.upstreams}
     by_pool: dict[str, list[Upstream]] = {}
     for upstream in listing.upstreams:
         pool = pool_name(upstream.service, upstream.availability_zone)
@@ -72,6 +78,13 @@
         site,
         listing=listing,
         by_pool={pool: tuple(found) for pool, found in by_pool.items()},
+        upstreams={n: v for n, v in site.upstreams.items() if n in names},
+        news={
+            name: news
+            for name, news in site.news.items()
+            if name in hosts or now - news.heard_at < FORGET_MS
+        },
+        gone_hosts=site.gone_hosts & hosts,
     )
 
 
@@ -189,13 +202,14 @@
 def takeover(site: Site, pool: str, incarnation: int, now: float) -> Takeover:
     """Return what a new grantor of a pool starts from.
 
-    Every entry host that is known, or was until lately, may have a request
-    in flight until the longest deadline has passed.
+    Every entry host that is listed, or was heard until lately, may have a
+    request in flight until the longest deadline has passed.
     """
     assert site.settings is not None
-    rules = site.settings.services[pool_service(pool)]
-    names = {h.name for h in entry_hosts(site)} | set(site.news)
-    until = dict.fromkeys(names, now + rules.deadline_most_ms)
+    longest = site.settings.services[pool_service(pool)].deadline_most_ms
+    names = {h.name for h in entry_hosts(site)}
+    names |= {n for n, w in site.news.items() if now - w.heard_at < longest}
+    until = dict.fromkeys(names, now + longest)
     return Takeover(incarnation, dict(site.upstreams), until)
 
 
--- a/wigeongw/decisions/trace.py
+++ b/wigeongw/decisions/trace.py
@@ -33,7 +33,15 @@
 HOLDER = "holder"
 GRANTOR = "grantor"
 HOLDER_CALLS = frozenset(
-    ("set_view", "want", "abandon", "done", "heard", "tick")
+    (
+        "set_view",
+        "want",
+        "abandon",
+        "done",
+        "heard",
+        "tick",
+        "give_up_line",
+    )
 )
 GRANTOR_CALLS = frozenset(
     (
