--- a/wigeongw/daemon/cold_start_test.py
+++ b/wigeongw/daemon/cold_start_test.py
@@ -43,6 +43,17 @@
             await self.site.wait_warm(self.hosts[0])
         await self.check()
 
+    async def test_without_permits_the_same_load_overloads(self) -> None:
+        """The mechanism switched off: what these tests would catch."""
+        await self.site.publish(
+            self.text(permits={"sharing": "least_in_flight"})
+        )
+        await self.site.wait_revision(2, self.hosts)
+        async with self.load(width=60):
+            await asyncio.sleep(1.0)
+        seen = await self.site.all_seen()
+        self.assertGreater(max(s["overloads"] for s in seen.values()), 0)
+
     async def test_grantor_killed_in_the_ramp(self) -> None:
         grantor = await self.site.grantor("dial-watch@zarqa")
         others = [name for name in self.hosts if name != grantor]
--- a/wigeongw/daemon/once_test.py
+++ b/wigeongw/daemon/once_test.py
@@ -49,6 +49,18 @@
             self.assertEqual(again, first)
         self.assertEqual(await self.ran("a"), 1)
 
+    async def test_without_a_key_a_resend_runs_again(self) -> None:
+        """The mechanism switched off: what these tests would catch."""
+        services = {
+            SERVICE: {"paths": [f"/{SERVICE}"], "idempotency_key": "optional"}
+        }
+        await self.site.publish(self.text(services=services))
+        await self.site.wait_revision(2, self.hosts)
+        before = await self.ran()
+        for host in self.hosts[:2]:
+            await self.send(host, "POST", f"/{SERVICE}/strike", data=b"s")
+        self.assertEqual(await self.ran(), before + 2)
+
     async def test_many_at_once_run_once(self) -> None:
         answers = await asyncio.gather(
             *(
--- a/wigeongw/decisions/measuring_test.py
+++ b/wigeongw/decisions/measuring_test.py
@@ -1,6 +1,7 @@
 """The measuring budget holds in every window, whatever anybody believes."""
 
 import unittest
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import seed
@@ -44,42 +45,66 @@
         self.assertLessEqual(total, 10_240)
 
 
+@seed(20261204)
+@settings(max_examples=300, deadline=None, database=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.floats(0.0, 400.0),
+            st.sampled_from(["take", "share", "move"]),
+            st.integers(0, 6),
+        ),
+        max_size=200,
+    )
+)
+def check_windows(steps: list[tuple[float, str, int]]) -> None:
+    """A pool's fence moves about; two spenders never overlap."""
+    now = 0.0
+    spender = Spender(now)
+    current = Share(3, 100)
+    spender.set_share(current, now)
+    sent: list[float] = []
+    largest = 3
+    for wait, action, number in steps:
+        now += wait
+        if action == "take" and spender.take(now):
+            sent.append(now)
+        elif action == "share":
+            largest = max(largest, number)
+            spender.set_share(Share(number, 100), now)
+        elif action == "move":
+            spender = Spender(now)
+            spender.set_share(Share(largest, 100), now)
+    for begin in sent:
+        window = [t for t in sent if begin <= t <= begin + 1_000.0]
+        assert len(window) <= largest, window
+
+
+START = Spender.__init__
+
+
+def without_first_window(spender: Spender, now: float) -> None:
+    START(spender, now)
+    spender.opens_at = now
+
+
 class SpenderTest(unittest.TestCase):
-    @seed(20261204)
-    @settings(max_examples=300, deadline=None, database=None)
-    @given(
-        st.lists(
-            st.tuples(
-                st.floats(0.0, 400.0),
-                st.sampled_from(["take", "share", "move"]),
-                st.integers(0, 6),
-            ),
-            max_size=200,
+    def test_every_window_is_within_the_share(self) -> None:
+        check_windows()
+
+    def test_each_rule_is_needed(self) -> None:
+        """Without the first window, or the count, a window goes over."""
+        mutations = (
+            ("used", lambda spender, now: 0),
+            ("__init__", without_first_window),
         )
-    )
-    def test_every_window_is_within_the_share(
-        self, steps: list[tuple[float, str, int]]
-    ) -> None:
-        """A pool's fence moves about; two spenders never overlap."""
-        now = 0.0
-        spender = Spender(now)
-        current = Share(3, 100)
-        spender.set_share(current, now)
-        sent: list[float] = []
-        largest = 3
-        for wait, action, number in steps:
-            now += wait
-            if action == "take" and spender.take(now):
-                sent.append(now)
-            elif action == "share":
-                largest = max(largest, number)
-                spender.set_share(Share(number, 100), now)
-            elif action == "move":
-                spender = Spender(now)
-                spender.set_share(Share(largest, 100), now)
-        for begin in sent:
-            window = [t for t in sent if begin <= t <= begin + 1_000.0]
-            self.assertLessEqual(len(window), largest)
+        for name, mutation in mutations:
+            with (
+                self.subTest(name),
+                mock.patch.object(Spender, name, mutation),
+                self.assertRaises(AssertionError),
+            ):
+                check_windows()
 
     def test_a_new_owner_spends_after_one_window(self) -> None:
         spender = Spender(0.0)
