--- a/wigeongw/commands/serve.py
+++ b/wigeongw/commands/serve.py
@@ -10,7 +10,6 @@
 from typing import Annotated
 
 import aiohttp
-import logbook
 import typer
 import uvloop
 
@@ -28,8 +27,6 @@
 from wigeongw.settings.errors import SettingsError
 from wigeongw.settings.model import HostSettings
 
-log = logbook.Logger("host")
-
 
 def serve(
     host_settings: Annotated[
--- a/wigeongw/daemon/dispatcher.py
+++ b/wigeongw/daemon/dispatcher.py
@@ -10,8 +10,6 @@
 from dataclasses import dataclass
 from dataclasses import replace
 
-import logbook
-
 from wigeongw.core.clock import Clock
 from wigeongw.core.records import Outcome
 from wigeongw.core.records import Upstream
@@ -48,8 +46,6 @@
 }
 RETRY_AFTER_S = 1
 
-log = logbook.Logger("route")
-
 
 @dataclass(frozen=True, slots=True)
 class Request:
@@ -217,9 +213,7 @@
         kept = False
 
         def finish(verdict: Verdict) -> None:
-            self.desk.release(
-                request.service, key, verdict, seen.head_ms, seen.start
-            )
+            self.desk.release(key, verdict, seen.head_ms, seen.start)
 
         try:
             upstream = self._upstream(held)
--- a/wigeongw/daemon/front_door.py
+++ b/wigeongw/daemon/front_door.py
@@ -15,8 +15,6 @@
 import random
 from typing import Any
 
-import logbook
-
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
 from wigeongw.core.identity import new_identity
@@ -47,8 +45,6 @@
 KEPT_BODY_BYTES = 65_536
 KEYED_BODY_BYTES = 1 << 20
 
-log = logbook.Logger("front")
-
 
 class FrontDoor:
     """The ASGI application of an entry host."""
--- a/wigeongw/daemon/permit_desk.py
+++ b/wigeongw/daemon/permit_desk.py
@@ -12,8 +12,6 @@
 from collections.abc import Sequence
 import random
 
-import logbook
-
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
 from wigeongw.core.errors import WigeongwError
@@ -55,8 +53,6 @@
 BUSY_TICK_MS = 2.0
 IDLE_TICK_MS = 20.0
 
-log = logbook.Logger("permits")
-
 
 class NotAdmittedError(WigeongwError):
     """A request was not given an upstream; nothing of it was sent."""
@@ -121,7 +117,6 @@
 
     def release(
         self,
-        service: str,
         request: str,
         verdict: Verdict,
         served_ms: float = 0.0,
@@ -253,7 +248,7 @@
         self.owners[start.request] = self.holders[service]
         future = self.futures.get(start.request)
         if future is None or future.done():
-            self.release(service, start.request, Verdict.UNUSED)
+            self.release(start.request, Verdict.UNUSED)
             return
         future.set_result(start.held)
 
@@ -271,7 +266,7 @@
             return
         granted = future.done() and not future.cancelled()
         if granted and future.exception() is None:
-            self.release(service, request, Verdict.UNUSED)
+            self.release(request, Verdict.UNUSED)
             return
         self._do(holder.abandon(request, self.clock.now()))
 
