--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import replace
+import os
 import pathlib
 import random
 import time
@@ -21,8 +22,14 @@
 from standins.site import settings_text
 from standins.site import SiteProcesses
 from wigeongw.adapters import peer_codec
+from wigeongw.core.clock import Clock
 from wigeongw.core.clock import MS_PER_S
+from wigeongw.core.records import EntryHost
 from wigeongw.core.records import Upstream
+from wigeongw.daemon.metrics import Metrics
+from wigeongw.daemon.record import handler_for
+from wigeongw.daemon.record import Record
+from wigeongw.decisions import addresses
 from wigeongw.decisions.grantor import Grantor
 from wigeongw.decisions.grantor import Takeover
 from wigeongw.decisions.grantor import UpstreamView
@@ -32,6 +39,7 @@
 from wigeongw.decisions.messages import ToHolder
 from wigeongw.decisions.messages import Verdict
 from wigeongw.ports.peers import Heartbeat
+from wigeongw.settings import check
 from wigeongw.settings.model import ColdStartSettings
 from wigeongw.settings.model import PermitSettings
 
@@ -46,6 +54,10 @@
 POOLS = (4, 16, 64, 256)
 VIEWS = (10, 50, 200, 1_000)
 CLAIMS = (1, 8, 32, 96)
+LINES = (500, 1_000, 2_000, 4_000)
+HOSTS_TOLD = (5, 17, 60, 200)
+SERVICES = (10, 50, 100, 200)
+US_PER_S = 1e6
 WORK_MS = 5.0
 
 TARGET_CALLS = 490_000.0
@@ -55,6 +67,10 @@
 TARGET_MB = 128.0
 TARGET_KB = 22.0
 TARGET_ADDED_MS = 0.46
+TARGET_SERVICES = 200
+TARGET_CHANGES = 2_800
+S_PER_DAY = 86_400.0
+REPLACED = 950
 STORE_READS = 2_000.0
 HEARTBEATS_PER_S = 4.0
 
@@ -275,6 +291,65 @@
     return fit("heartbeat", "bytes at upstreams told", points)
 
 
+def record_cost() -> Fit:
+    """Measure queueing and writing record lines."""
+    points: list[tuple[float, float]] = []
+    with open(os.devnull, "w", encoding="utf-8") as nowhere:
+        handler = handler_for(nowhere)
+        with handler.applicationbound():
+            for count in LINES:
+                record = Record(Clock(), Metrics(), count)
+                began = time.process_time()
+                for number in range(count):
+                    record.add(
+                        "route", str(number), "s", "u", "z", 1, "permit"
+                    )
+                record.write(count)
+                points.append(
+                    (float(count), (time.process_time() - began) * MS_PER_S)
+                )
+    return fit("record", "ms at lines", points)
+
+
+def address_cost() -> Fit:
+    """Measure choosing addresses against the entry hosts there are."""
+    points: list[tuple[float, float]] = []
+    rng = random.Random(SEED)
+    rounds = 500
+    for count in HOSTS_TOLD:
+        hosts = [
+            EntryHost(f"e{n}", "a", "p", f"z{n % 3}") for n in range(count)
+        ]
+        began = time.process_time()
+        for _ in range(rounds):
+            addresses.answer(hosts, frozenset(), "z1", rng)
+        spent = (time.process_time() - began) / rounds * US_PER_S
+        points.append((float(count), spent))
+    return fit("address answers", "us an answer at entry hosts", points)
+
+
+def settings_cost() -> tuple[Fit, Fit]:
+    """Measure checking a revision, and its size, against services."""
+    times: list[tuple[float, float]] = []
+    sizes: list[tuple[float, float]] = []
+    for count in SERVICES:
+        services = {
+            f"service-{n}": {"paths": [f"/s{n}"]} for n in range(count)
+        }
+        text = settings_text(services=services)
+        rounds = 20
+        began = time.process_time()
+        for _ in range(rounds):
+            check.from_text(text, "capacity")
+        spent = (time.process_time() - began) / rounds * MS_PER_S
+        times.append((float(count), spent))
+        sizes.append((float(count), len(text) / 1e3))
+    return (
+        fit("settings check", "ms a revision at services", times),
+        fit("settings size", "KB a revision at services", sizes),
+    )
+
+
 async def measure() -> dict[str, Fit]:
     """Measure every slope."""
     idle = [(n, *await idle_fleet(n)) for n in HOSTS]
@@ -304,6 +379,9 @@
         once,
         grantor_cost(),
         heartbeat_size(),
+        record_cost(),
+        address_cost(),
+        *settings_cost(),
     ]
     return {f.name: f for f in fits}
 
@@ -404,6 +482,41 @@
             f"{per_call * MS_PER_S / TARGET_ADDED_MS:.1f}",
         ),
     ]
+    check_ms = fits["settings check"].at(TARGET_SERVICES)
+    changes = TARGET_CHANGES / S_PER_DAY
+    size_kb = fits["settings size"].at(TARGET_SERVICES)
+    rows += [
+        (
+            "settings checked whole, 2,800 changes a day",
+            f"{check_ms * changes / MS_PER_S:.5f} core",
+            f"{TARGET_CORE:g}",
+            f"{check_ms * changes / MS_PER_S / TARGET_CORE:.3f}",
+        ),
+        (
+            "settings fetched whole, 2,800 changes a day",
+            f"{size_kb * changes:.2f} KB/s",
+            f"{TARGET_KB:g} KB/s",
+            f"{size_kb * changes / TARGET_KB:.3f}",
+        ),
+        (
+            "record, a line a call at 490,000 calls/s, core a daemon",
+            f"{fits['record'].slope / MS_PER_S * TARGET_CALLS / fleet:.3f}",
+            "-",
+            "-",
+        ),
+        (
+            "address answer with every entry host in it",
+            f"{fits['address answers'].at(fleet) / MS_PER_S:.2f} ms",
+            "-",
+            "-",
+        ),
+        (
+            "replacements, 950 a day: one every",
+            f"{S_PER_DAY / REPLACED:.0f} s",
+            "-",
+            "-",
+        ),
+    ]
     return [
         "| worked out for the letter's size | need today | target | ratio |",
         "|---|---|---|---|",
