Two checks that rested on the machine's speed are replaced

Cause: a full run on a slower moment of the machine failed twice. test_grantor_paused_past_its_lifetime asked who owns the fence two seconds after the paused host had woken, which is also when a successor hands it back to the better placed host; it asks now just before the wake-up, while the paused host must have lost it, which is what the test is about. trace_test wanted more than 500 lines and got 497, a figure taken from a run; it wants now every kind of call and a started request, which a count did not ask for.

--- a/wigeongw/daemon/cold_start_test.py
+++ b/wigeongw/daemon/cold_start_test.py
@@ -73,11 +73,10 @@
             await asyncio.sleep(0.3)
             self.site.processes[grantor].pause()
             await asyncio.sleep(6.0)
+            successor = await self.site.grantor("dial-watch@zarqa")
             self.site.processes[grantor].resume()
             await asyncio.sleep(2.0)
-        self.assertNotEqual(
-            await self.site.grantor("dial-watch@zarqa"), grantor
-        )
+        self.assertNotEqual(successor, grantor)
         await self.check()
 
     async def test_holder_paused_with_a_request_in_flight(self) -> None:
--- a/wigeongw/daemon/trace_test.py
+++ b/wigeongw/daemon/trace_test.py
@@ -1,5 +1,6 @@
 """A trace that a daemon wrote is replayed to the same decisions."""
 
+import json
 import unittest
 
 from standins.site_case import SiteCase
@@ -19,7 +20,10 @@
         self.site.processes["traced"].terminate()
         self.assertEqual(await self.site.processes["traced"].wait(9_000.0), 0)
         lines = path.read_text().splitlines()
-        self.assertGreater(len(lines), 500)
+        calls = {json.loads(line)["call"] for line in lines}
+        expected = {"new", "set_view", "want", "heard", "done", "tick"}
+        self.assertLessEqual(expected, calls)
+        self.assertTrue(any('"Start"' in line for line in lines))
         self.assertEqual(list(trace.replay(lines)), [])
         wrong = [line.replace('"Start"', '"Refuse"') for line in lines]
         self.assertNotEqual(list(trace.replay(wrong)), [])
