Who is reachable is worked out once a look, not once a pool

Found by reading the whole change: taking and handing over fences asked for each pool anew which hosts are reachable, ten times a second, and the status asked for each pool whether the lease holds. Both are worked out once and handed in. Behaviour is as it was; the saving was not measured.

--- a/wigeongw/daemon/own_answers.py
+++ b/wigeongw/daemon/own_answers.py
@@ -10,6 +10,7 @@
 
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import MS_PER_S
+from wigeongw.core.records import EntryHost
 from wigeongw.daemon.dispatcher import Dispatcher
 from wigeongw.daemon.measurer import Measurer
 from wigeongw.daemon.metrics import Metrics
@@ -111,7 +112,9 @@
         """Return what is believed now, ready for JSON."""
         site = self.desk.site
         now = self.clock.now()
-        heard = {h.name for h in sites.reachable(site, now)}
+        near = sites.reachable(site, now)
+        heard = {h.name for h in near}
+        holds = sites.lease_holds(site, now)
         return {
             "host": site.me.name,
             "availability_zone": site.me.availability_zone,
@@ -146,13 +149,18 @@
                 for h in sites.entry_hosts(site)
             ],
             "pools": [
-                self._pool(site, pool, host, now)
+                self._pool(site, pool, host, near, holds)
                 for pool, host in sites.grantors(site, now).items()
             ],
         }
 
     def _pool(
-        self, site: Site, pool: str, host: str | None, now: float
+        self,
+        site: Site,
+        pool: str,
+        host: str | None,
+        near: tuple[EntryHost, ...],
+        holds: bool,
     ) -> dict[str, Any]:
         fence = site.fences.get(pool)
         grantor = self.desk.grantors.get(pool)
@@ -162,13 +170,11 @@
             "open": sites.is_open(site, pool),
             "grantor": host,
             "fence": asdict(fence) if fence else None,
-            "fenced": sites.owns_fence(
-                site, pool, sites.lease_holds(site, now)
-            ),
+            "fenced": sites.owns_fence(site, pool, holds),
             "queued": queued,
             "settled": grantor is not None
             and not grantor.unheard
-            and sites.is_candidate(site, pool, now),
+            and sites.is_candidate(site, pool, near),
             "unheard": sorted(grantor.unheard) if grantor else [],
             "upstreams": [
                 self._upstream(site, pool, u.name, u.state.value)
--- a/wigeongw/daemon/store_keeper.py
+++ b/wigeongw/daemon/store_keeper.py
@@ -196,13 +196,13 @@
     def _wanted(self) -> list[str]:
         """Return the pools whose fence is free and should be ours."""
         site = self.keeper.site
-        now = self.clock.now()
+        near = sites.reachable(site, self.clock.now())
         free = (
             pool
             for pool in sites.pools(site)
             if pool not in site.fences or not site.fences[pool].host
         )
-        return [p for p in free if sites.is_candidate(site, p, now)]
+        return [p for p in free if sites.is_candidate(site, p, near)]
 
     def _settle(self) -> None:
         """Begin to wait for the others once the host list was read."""
@@ -232,12 +232,13 @@
         site = self.keeper.site
         now = self.clock.now()
         known = set(sites.pools(site))
+        near = sites.reachable(site, now)
         misplaced = {
             pool: self.misplaced.get(pool, now)
             for pool, fence in site.fences.items()
             if fence.host == site.me.name
             and pool in known
-            and not sites.is_candidate(site, pool, now)
+            and not sites.is_candidate(site, pool, near)
         }
         self.misplaced = misplaced
         return [p for p, t in misplaced.items() if now - t >= HAND_OVER_MS]
--- a/wigeongw/decisions/site.py
+++ b/wigeongw/decisions/site.py
@@ -4,6 +4,7 @@
 work out from it who shares out which pool and what each pool can take.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
@@ -167,9 +168,14 @@
     return None
 
 
-def is_candidate(site: Site, pool: str, now: float) -> bool:
-    """Whether this entry host should take a pool's fence when it is free."""
-    near = reachable(site, now)
+def is_candidate(site: Site, pool: str, near: Iterable[EntryHost]) -> bool:
+    """Whether this entry host should take a pool's fence when it is free.
+
+    Args:
+        site: what is known.
+        pool: which.
+        near: the hosts that are reachable at this moment.
+    """
     found = membership.candidate(pool, pool_zone(pool), near)
     return found == site.me.name
 
