--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,13 @@
+#!/bin/sh
+# Puts what an entry host runs into target/deps: the locked libraries, once a
+# lock, and the product as it stands.
+set -eu
+if ! cmp -s deploy/requirements.lock target/requirements.lock; then
+    rm -rf target/deps
+    python3 -m pip install -q --no-deps --require-hashes --target target/deps \
+        -r deploy/requirements.lock
+    cp deploy/requirements.lock target/requirements.lock
+fi
+rm -rf target/deps/wigeongw
+cp -r wigeongw target/deps/wigeongw
+python3 -m compileall -q target/deps/wigeongw
--- a/wigeongw/adapters/http_server.py
+++ b/wigeongw/adapters/http_server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Generator
 import contextlib
 import logging
@@ -15,18 +16,25 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from wigeongw.core.addresses import split_address
+from wigeongw.core.clock import MS_PER_S
 from wigeongw.core.clock import seconds
+from wigeongw.core.site import ClientLimits
 
-HEAD_MOST_BYTES = 65_536
-HEAD_MOST_MS = 10_000.0
 KEEP_ALIVE_S = 75
+# Idle connections are closed a little later than clients are told.
+IDLE_SLACK_MS = 500.0
 BACKLOG = 2048
 TOO_LARGE = "The head of the request is too large"
 
 
 class BoundedProtocol(HttpToolsProtocol):
-    """HTTP/1.1 with bounds on the head of a request."""
+    """HTTP/1.1 with bounds on the head of a request.
 
+    Attributes:
+        limits_of: returns what clients may send now.
+    """
+
+    limits_of: Callable[[], ClientLimits] = ClientLimits
     head_bytes = 0
     in_head = True
     head_timer: asyncio.TimerHandle | None = None
@@ -36,7 +44,10 @@
     ) -> None:
         """Begin to time the first head."""
         super().connection_made(transport)
-        self._time_head()
+        limits = type(self).limits_of()
+        idle_ms = limits.idle_ms + IDLE_SLACK_MS
+        self.timeout_keep_alive = int(-(-idle_ms // MS_PER_S))
+        self._time_head(limits.head_ms)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop timing."""
@@ -49,7 +60,7 @@
         if not self.in_head:
             return
         self.head_bytes += len(data)
-        if self.head_bytes > HEAD_MOST_BYTES:
+        if self.head_bytes > type(self).limits_of().head_bytes:
             self._refuse()
 
     def on_message_begin(self) -> None:
@@ -57,7 +68,7 @@
         self.in_head = True
         self.head_bytes = 0
         if self.head_timer is None:
-            self._time_head()
+            self._time_head(type(self).limits_of().head_ms)
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
@@ -67,9 +78,10 @@
         size = len(self.url) + sum(
             len(name) + len(value) for name, value in self.headers
         )
-        if size > HEAD_MOST_BYTES:
+        if size > type(self).limits_of().head_bytes:
             self._refuse()
             return
+        self.scope["wigeongw.target"] = self.url
         super().on_headers_complete()
 
     def _refuse(self) -> None:
@@ -85,9 +97,9 @@
         )
         self.transport.close()
 
-    def _time_head(self) -> None:
+    def _time_head(self, most_ms: float) -> None:
         self.head_timer = self.loop.call_later(
-            seconds(HEAD_MOST_MS), self._head_too_slow
+            seconds(most_ms), self._head_too_slow
         )
 
     def _stop_timing(self) -> None:
@@ -136,12 +148,26 @@
     return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
 
 
-def build(app: Any) -> EmbeddedServer:
+def bounded_by(
+    limits_of: Callable[[], ClientLimits],
+) -> type[BoundedProtocol]:
+    """Return the protocol with limits that may change while it runs."""
+
+    class Bounded(BoundedProtocol):
+        """HTTP/1.1 within the limits in force."""
+
+    Bounded.limits_of = staticmethod(limits_of)  # type: ignore[assignment]
+    return Bounded
+
+
+def build(
+    app: Any, protocol: type[BoundedProtocol] = BoundedProtocol
+) -> EmbeddedServer:
     """Build a server for an ASGI application."""
     logging.getLogger("uvicorn").setLevel(logging.CRITICAL + 1)
     config = uvicorn.Config(
         app,
-        http=BoundedProtocol,
+        http=protocol,
         ws="none",
         lifespan="off",
         log_config=None,
--- /dev/null
+++ b/wigeongw/decisions/placing.py
@@ -0,0 +1,203 @@
+"""Which upstream a request goes to, from fresh probes.
+
+Answers light to heavy load on upstreams whose speed changes within a tenth of
+a second: what is older than that says little, so a host probes a few
+upstreams at the moment of sending and takes the one that should finish
+first. Upstreams near by go first while they keep the objective, since every
+byte between availability zones is paid for. At full load, when every
+upstream has work waiting, the estimate is the time in its queue.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+from dataclasses import dataclass
+import random
+
+from wigeongw.core.site import LoadSample
+from wigeongw.core.site import Target
+
+# Work slows down on upstreams that are nearly full.
+KNEE_SHARE = 0.8
+KNEE_FACTOR = 1.5
+# A sample says how fast an upstream is for about this long.
+SAMPLE_LASTS_MS = 150.0
+# What is assumed of an upstream's slowness when nothing fresh is known.
+UNKNOWN_SLOWDOWN = 2.0
+COLD_SLOWDOWN = 2.0
+# Requests waiting at an upstream, in slots, above which it may turn the next
+# one away; other hosts send at the same time.
+FULL_WAITING = 1.0
+# A near upstream is taken without looking further while it should finish
+# within this part of the objective.
+NEAR_ENOUGH = 0.7
+# How much a failure weighs, in objectives.
+RISK_WEIGHT = 2.0
+UNHEALTHY_RISK = 0.4
+FAR_PENALTY_MS = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """What is known of an upstream at the moment of placing.
+
+    Attributes:
+        near: it is in this host's availability zone.
+        sample: the latest word of its load, if any.
+        sent: requests of this host that its sample does not show yet.
+        risk: recent share of failures, 0 to 1.
+        cold_open: whether this host may send it a request while cold.
+    """
+
+    target: Target
+    near: bool
+    sample: LoadSample | None
+    sent: int
+    risk: float
+    cold_open: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """An upstream and when it should have finished.
+
+    Attributes:
+        expected_ms: from now.
+        score_ms: the same with risk and distance weighed in.
+    """
+
+    target: Target
+    expected_ms: float
+    score_ms: float
+    cold: bool
+
+
+def estimate(candidate: Candidate, work_ms: float, now: float) -> float:
+    """Estimate how long a request would take there, in milliseconds.
+
+    Args:
+        candidate: the upstream.
+        work_ms: what the request takes on a usual upstream.
+        now: monotonic clock.
+    """
+    slots = max(1, candidate.target.slots)
+    sample = candidate.sample
+    if sample is None:
+        ahead = float(candidate.sent)
+        slowdown = UNKNOWN_SLOWDOWN
+    else:
+        age = _age(sample, now)
+        ahead = candidate.sent + (sample.running + sample.waiting) * (1 - age)
+        slots = max(1, sample.slots or slots)
+        slowdown = sample.slowdown * (1 - age) + UNKNOWN_SLOWDOWN * age
+    if is_cold(candidate, now):
+        slowdown = max(slowdown, COLD_SLOWDOWN)
+    return work_ms * slowdown * _queue_factor(ahead, slots)
+
+
+def is_cold(candidate: Candidate, now: float) -> bool:
+    """Say whether an upstream is in its cold start."""
+    sample = candidate.sample
+    if sample is not None:
+        return sample.at_ms + sample.cold_left_ms > now
+    return candidate.target.cold_left_ms > 0
+
+
+def is_full(candidate: Candidate, now: float) -> bool:
+    """Say whether an upstream may turn away one more request."""
+    sample = candidate.sample
+    if sample is None:
+        return candidate.sent >= 2 * max(1, candidate.target.slots)
+    slots = max(1, sample.slots or candidate.target.slots)
+    known = (sample.running + sample.waiting) * (1 - _age(sample, now))
+    waiting = known + candidate.sent - slots
+    return waiting >= FULL_WAITING * slots
+
+
+def choose(
+    candidates: Iterable[Candidate],
+    work_ms: float,
+    objective_ms: float,
+    now: float,
+    rng: random.Random,
+) -> Placement | None:
+    """Choose where a request should go.
+
+    Args:
+        candidates: upstreams that may be used at all.
+        work_ms: what the request takes on a usual upstream.
+        objective_ms: what is left of its objective.
+        now: monotonic clock.
+        rng: breaks ties.
+
+    Returns:
+        None when every upstream is full or too cold.
+    """
+    best: Placement | None = None
+    near_best: Placement | None = None
+    for candidate in candidates:
+        cold = is_cold(candidate, now)
+        if is_full(candidate, now) or (cold and not candidate.cold_open):
+            continue
+        expected = estimate(candidate, work_ms, now)
+        score = _score(candidate, expected, objective_ms, rng)
+        placed = Placement(candidate.target, expected, score, cold)
+        if best is None or score < best.score_ms:
+            best = placed
+        if candidate.near and (
+            near_best is None or score < near_best.score_ms
+        ):
+            near_best = placed
+    if near_best is not None and is_good(near_best, objective_ms):
+        return near_best
+    return best
+
+
+def is_good(placed: Placement, objective_ms: float) -> bool:
+    """Say whether a placement keeps the objective with room to spare."""
+    return placed.score_ms <= NEAR_ENOUGH * objective_ms
+
+
+def probe_order(
+    candidates: Sequence[Candidate], rng: random.Random
+) -> list[Candidate]:
+    """Order upstreams by how much a probe of them may be worth.
+
+    Near ones come first, among them those that fail least and have least of
+    this host's requests.
+    """
+
+    def rank(candidate: Candidate) -> tuple[bool, float]:
+        load = candidate.risk * candidate.target.slots + candidate.sent
+        return not candidate.near, load + rng.random()
+
+    return sorted(candidates, key=rank)
+
+
+def _score(
+    candidate: Candidate,
+    expected: float,
+    objective_ms: float,
+    rng: random.Random,
+) -> float:
+    sample = candidate.sample
+    risk = candidate.risk
+    if sample is not None and not sample.healthy:
+        risk = max(risk, UNHEALTHY_RISK)
+    score = expected + risk * RISK_WEIGHT * objective_ms
+    if not candidate.near:
+        score += FAR_PENALTY_MS
+    return score + rng.random()
+
+
+def _age(sample: LoadSample, now: float) -> float:
+    """Return how much of a sample's truth has gone, 0 to 1."""
+    return min(1.0, max(0.0, now - sample.at_ms) / SAMPLE_LASTS_MS)
+
+
+def _queue_factor(ahead: float, slots: int) -> float:
+    """Return how much longer a request takes behind others."""
+    if ahead >= slots:
+        return KNEE_FACTOR * (1.0 + (ahead + 1 - slots) / slots)
+    if ahead + 1 > KNEE_SHARE * slots:
+        return KNEE_FACTOR
+    return 1.0
--- /dev/null
+++ b/wigeongw/decisions/shares.py
@@ -0,0 +1,124 @@
+"""Each host's part of bounds that hold over all hosts together.
+
+A part is fixed by the largest number of hosts that may be live, so the sum
+holds under every split of views and needs no agreement. Underspending is the
+price.
+"""
+
+from dataclasses import dataclass
+import math
+import random
+
+from wigeongw.core.clock import MS_PER_S
+from wigeongw.core.site import Bounds
+from wigeongw.core.site import Service
+
+# Hosts that may be added or be missing from this host's view.
+SPARE_HOSTS_RATIO = 0.2
+# The hosts beside an upstream place most of its requests, so most of the
+# probes are theirs.
+NEAR_PART = 0.7
+NEAR_BURST = 2.0
+# Of a cold upstream's bound the part that is dealt out: hosts draw their
+# moments at random, so some seconds see more than the mean.
+COLD_PART = 0.4
+# Of the retry bound the part that is dealt out; requests are counted by
+# clients, not by hosts, and restarted hosts begin with a full bucket.
+RETRY_PART = 0.75
+RETRY_BURST_MOST = 4.0
+
+
+@dataclass(slots=True)
+class Bucket:
+    """A token bucket.
+
+    Attributes:
+        rate: tokens a second.
+        most: tokens that may be saved up.
+    """
+
+    rate: float
+    most: float
+    tokens: float
+    at_ms: float
+
+    def refill(self, now: float) -> float:
+        """Add what has accrued and return the tokens there are."""
+        gained = max(0.0, now - self.at_ms) / MS_PER_S * self.rate
+        self.tokens = min(self.most, self.tokens + gained)
+        self.at_ms = now
+        return self.tokens
+
+    def take(self, now: float) -> bool:
+        """Take one token if there is one."""
+        if self.refill(now) < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def add(self, tokens: float) -> None:
+        """Earn tokens."""
+        self.tokens = min(self.most, self.tokens + tokens)
+
+
+def hosts_most(known: int) -> int:
+    """Return how many hosts may be live when this many are known."""
+    return max(1, math.ceil(known * (1.0 + SPARE_HOSTS_RATIO)))
+
+
+def probe_bucket(
+    bounds: Bounds, near_hosts: int, far_hosts: int, near: bool, now: float
+) -> Bucket:
+    """Build this host's bucket for probes of one upstream.
+
+    In any second all hosts together stay within the bound: each spends at
+    most its rate and one full bucket.
+    """
+    part = NEAR_PART if near else 1.0 - NEAR_PART
+    hosts = hosts_most(near_hosts if near else far_hosts)
+    each = bounds.probes_per_s * part / hosts
+    burst = min(NEAR_BURST, max(1.0, each / 2.0))
+    rate = max(0.1, each - burst)
+    return Bucket(rate, burst, burst, now)
+
+
+def cold_bucket(
+    bounds: Bounds,
+    service: Service,
+    hosts: int,
+    now: float,
+    rng: random.Random,
+) -> Bucket:
+    """Build this host's bucket for requests to one cold upstream.
+
+    It starts with a random part of a token, so that hosts which meet a cold
+    upstream at the same moment do not all send at once.
+    """
+    bound = service.cold_per_s * bounds.cold_over + bounds.cold_slack
+    rate = min(bound * COLD_PART, service.cold_per_s) / hosts_most(hosts)
+    return Bucket(rate, 1.0, rng.random() * 0.9, now)
+
+
+class RetryShare:
+    """This host's part of the further sends to one service."""
+
+    def __init__(self, bounds: Bounds, hosts: int, now: float) -> None:
+        each = bounds.retry_slack * RETRY_PART / hosts_most(hosts)
+        most = max(1.0, min(RETRY_BURST_MOST, each / 2.0))
+        window_s = bounds.retry_window_ms / MS_PER_S
+        rate = max(0.0, each - most) / window_s
+        self.ratio = bounds.retry_ratio * RETRY_PART
+        self.bucket = Bucket(rate, most, most / 2.0, now)
+
+    def earn(self, now: float) -> None:
+        """Count a request of a client."""
+        self.bucket.refill(now)
+        self.bucket.add(self.ratio)
+
+    def spend(self, now: float) -> bool:
+        """Pay for a further send; False when there is none left."""
+        return self.bucket.take(now)
+
+    def left(self, now: float) -> float:
+        """Return how many further sends are paid for."""
+        return self.bucket.refill(now)
--- /dev/null
+++ b/wigeongw/gateway/front.py
@@ -0,0 +1,415 @@
+"""The HTTP side towards clients: an ASGI application."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+import contextlib
+from dataclasses import dataclass
+from typing import Any
+
+from wigeongw.adapters.upstream_connection import Reply
+from wigeongw.core.clock import MS_PER_S
+from wigeongw.core.clock import seconds
+from wigeongw.core.records import Outcome
+from wigeongw.core.site import ClientLimits
+from wigeongw.core.site import Route
+from wigeongw.daemon.headers import HOP_BY_HOP
+from wigeongw.decisions.routing import find_route
+from wigeongw.gateway.errors import AnswerCutError
+from wigeongw.gateway.errors import RequestError
+from wigeongw.gateway.forwarder import Attempt
+from wigeongw.gateway.forwarder import Forwarder
+from wigeongw.gateway.forwarder import Request
+from wigeongw.gateway.state import HostState
+from wigeongw.ports.dialect import Dialect
+from wigeongw.ports.errors import BodyError
+
+Scope = dict[str, Any]
+Receive = Callable[[], Awaitable[Mapping[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+Headers = list[tuple[bytes, bytes]]
+
+# For a request that names no deadline.
+DEADLINE_MS = 5_000.0
+DEADLINE_MOST_MS = 600_000.0
+NOT_CONFIGURED_MS = 200.0
+STOPPING_MS = 20.0
+# Time for an answer to reach its client before this host is killed.
+LAST_ANSWER_MS = 300.0
+DROPPED_FROM_CLIENT = HOP_BY_HOP | {b.decode() for b in (b"content-length",)}
+CLOSE = (b"connection", b"close")
+
+
+class _ClientGoneError(Exception):
+    """The client has closed its connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Fields:
+    """What a request's head says.
+
+    Attributes:
+        length: of the body; None when it comes in chunks.
+    """
+
+    host: str
+    identity: str
+    deadline_ms: float
+    length: int | None
+    headers: tuple[tuple[bytes, bytes], ...]
+
+
+class Front:
+    """Reads requests, has them forwarded, answers."""
+
+    def __init__(
+        self, state: HostState, forwarder: Forwarder, dialect: Dialect
+    ) -> None:
+        self.state = state
+        self.forwarder = forwarder
+        self.dialect = dialect
+        self.in_progress = 0
+        self.killed_at: float | None = None
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Answer one request."""
+        if scope["type"] != "http":
+            return
+        self.in_progress += 1
+        try:
+            await _Exchange(self, scope, receive, send).run()
+        finally:
+            self.in_progress -= 1
+
+    def find(self, fields: _Fields, path: str) -> Route:
+        """Find the route of a request.
+
+        Raises:
+            RequestError: when there is none, or no configuration yet.
+        """
+        if self.state.view.configuration is None:
+            raise RequestError(
+                503, "no_configuration", retry_after_ms=NOT_CONFIGURED_MS
+            )
+        route = find_route(self.state.index, fields.host, path)
+        if route is None:
+            raise RequestError(404, "no_route")
+        return route
+
+    def limits(self) -> ClientLimits:
+        """Return what clients may send now."""
+        configuration = self.state.view.configuration
+        return configuration.limits if configuration else ClientLimits()
+
+    def check_time_to_stop(self, route: Route, now: float) -> None:
+        """Refuse what might not end before this host is killed.
+
+        Raises:
+            RequestError: it has not run; another host should be asked.
+        """
+        if self.killed_at is None:
+            return
+        if now + route.timeout_ms + LAST_ANSWER_MS > self.killed_at:
+            raise RequestError(503, "stopping", retry_after_ms=STOPPING_MS)
+
+
+class _Exchange:
+    """One request and its answer."""
+
+    def __init__(
+        self, front: Front, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        self.front = front
+        self.state = front.state
+        self.scope = scope
+        self.receive = receive
+        self.send = send
+        self.arrived = self.state.clock.now()
+        self.identity = "-"
+        self.route: Route | None = None
+        self.service = ""
+        self.started = False
+
+    async def run(self) -> None:
+        """Answer, and log what became of the request."""
+        try:
+            attempt = await self._serve()
+            await self._pass_on(attempt)
+            reply = attempt.reply
+            status = reply.status if reply else 0
+            self._log(status, attempt.outcome, "answered", attempt)
+        except RequestError as error:
+            self._log(error.status, error.outcome, error.reason, None)
+            await self._answer_error(error)
+        except _ClientGoneError:
+            self._log(0, Outcome.UNKNOWN, "client_gone", None)
+
+    # Reading
+
+    async def _serve(self) -> Attempt:
+        fields = self._fields()
+        self.identity = fields.identity or "-"
+        path = self.scope["raw_path"].decode("latin-1")
+        self.route = self.front.find(fields, path)
+        self.front.check_time_to_stop(self.route, self.arrived)
+        wait_ms = min(fields.deadline_ms, self.route.timeout_ms)
+        ends_at = self.arrived + wait_ms
+        body = await self._body(fields, ends_at)
+        self.service = self.state.split(self.route).next()
+        request = Request(
+            fields.identity,
+            self.scope["method"],
+            self._target(),
+            fields.headers,
+            body,
+            self.route,
+            self.service,
+            self.arrived,
+            ends_at,
+        )
+        return await self._while_client_stays(request)
+
+    async def _while_client_stays(self, request: Request) -> Attempt:
+        work = asyncio.create_task(self.front.forwarder.forward(request))
+        gone = asyncio.create_task(self._client_gone())
+        try:
+            await asyncio.wait(
+                (work, gone), return_when=asyncio.FIRST_COMPLETED
+            )
+            if work.done():
+                return work.result()
+            raise _ClientGoneError
+        finally:
+            gone.cancel()
+            if not work.done():
+                work.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await work
+
+    async def _client_gone(self) -> None:
+        while (await self.receive())["type"] != "http.disconnect":
+            pass
+
+    def _fields(self) -> _Fields:
+        names = self.front.dialect.names
+        headers: Headers = self.scope["headers"]
+        values: dict[str, list[str]] = {}
+        for raw, value in headers:
+            name = raw.decode("latin-1")
+            values.setdefault(name, []).append(value.decode("latin-1"))
+        length = _length(values, self.front.limits().body_bytes)
+        named = _tokens(values.get("connection", []))
+        own = (names.deadline_ms, names.expected_instance)
+        dropped = DROPPED_FROM_CLIENT | named | set(own)
+        kept = tuple(
+            (name, value)
+            for name, value in headers
+            if name.decode("latin-1") not in dropped
+        )
+        hosts = values.get("host", [])
+        if len(hosts) != 1:
+            raise RequestError(400, "bad_host")
+        return _Fields(
+            hosts[0],
+            values.get(names.request_id, [""])[0],
+            _deadline(values.get(names.deadline_ms, [])),
+            length,
+            kept,
+        )
+
+    async def _body(self, fields: _Fields, ends_at: float) -> bytes:
+        if fields.length == 0:
+            return b""
+        most = self.front.limits().body_bytes
+        pieces: list[bytes] = []
+        size = 0
+        left = ends_at - self.state.clock.now()
+        try:
+            async with asyncio.timeout(seconds(max(0.0, left))):
+                while True:
+                    message = await self.receive()
+                    if message["type"] == "http.disconnect":
+                        raise _ClientGoneError
+                    piece = message.get("body", b"")
+                    size += len(piece)
+                    if size > most:
+                        raise RequestError(413, "body_too_large")
+                    pieces.append(piece)
+                    if not message.get("more_body", False):
+                        return b"".join(pieces)
+        except TimeoutError as error:
+            raise RequestError(408, "body_too_slow") from error
+
+    def _target(self) -> bytes:
+        target = self.scope.get("wigeongw.target")
+        if target is not None and target.startswith(b"/"):
+            return bytes(target)
+        query = self.scope["query_string"]
+        path = self.scope["raw_path"]
+        return bytes(path + b"?" + query if query else path)
+
+    # Answering
+
+    async def _pass_on(self, attempt: Attempt) -> None:
+        reply = attempt.reply
+        assert reply is not None
+        headers = self._answer_headers(reply)
+        self.started = True
+        await self.send(
+            {
+                "type": "http.response.start",
+                "status": reply.status,
+                "headers": headers,
+            }
+        )
+        more = reply.rest is not None
+        await self._send_body(reply.body, more)
+        if more:
+            await self._stream(attempt, reply)
+
+    async def _stream(self, attempt: Attempt, reply: Reply) -> None:
+        assert reply.rest is not None
+        assert attempt.connection is not None
+        whole = False
+        try:
+            while True:
+                piece = await reply.rest.get()
+                if isinstance(piece, BodyError):
+                    raise AnswerCutError(str(piece))
+                if piece is None:
+                    break
+                if reply.rest.qsize() == 0:
+                    attempt.connection.resume()
+                await self._send_body(piece, True)
+            whole = True
+            await self._send_body(b"", False)
+        finally:
+            if whole:
+                self.front.forwarder.pool.give_back(
+                    attempt.placed.target, attempt.connection
+                )
+            else:
+                attempt.connection.close()
+
+    async def _send_body(self, body: bytes, more: bool) -> None:
+        await self.send(
+            {"type": "http.response.body", "body": body, "more_body": more}
+        )
+
+    def _answer_headers(self, reply: Reply) -> Headers:
+        named = _tokens(
+            [
+                value.decode("latin-1")
+                for name, value in reply.headers
+                if name == b"connection"
+            ]
+        )
+        dropped = HOP_BY_HOP | named | {"content-length"}
+        headers = [
+            (name, value)
+            for name, value in reply.headers
+            if name.decode("latin-1") not in dropped
+        ]
+        length = reply.fields.get("content-length")
+        if reply.rest is None and self.scope["method"] != "HEAD":
+            length = str(len(reply.body))
+        if length is not None:
+            headers.append((b"content-length", length.encode()))
+        if self.state.stopping:
+            headers.append(CLOSE)
+        return headers
+
+    async def _answer_error(self, error: RequestError) -> None:
+        body = f"{error.reason}\n".encode()
+        headers: Headers = [
+            (b"content-type", b"text/plain"),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        names = self.front.dialect.names
+        if self.identity != "-":
+            headers.append(
+                (names.request_id.encode(), self.identity.encode("latin-1"))
+            )
+        if error.retry_after_ms:
+            after = error.retry_after_ms / MS_PER_S
+            headers.append((b"retry-after", f"{after:.3f}".encode()))
+        if self.state.stopping or error.status in (400, 408, 413):
+            headers.append(CLOSE)
+        await self.send(
+            {
+                "type": "http.response.start",
+                "status": error.status,
+                "headers": headers,
+            }
+        )
+        await self._send_body(body, False)
+
+    def _log(
+        self,
+        status: int,
+        outcome: Outcome,
+        reason: str,
+        attempt: Attempt | None,
+    ) -> None:
+        took = self.state.clock.now() - self.arrived
+        kind = self.route.kind.value if self.route else "-"
+        metrics = self.state.metrics
+        metrics.count("requests_total", kind, str(status), reason)
+        metrics.time(took, "request_ms", kind, outcome.value)
+        view = self.state.view
+        configuration = view.configuration
+        self.state.log.add(
+            "route",
+            id=self.identity,
+            route=self.route.name if self.route else None,
+            service=self.service or None,
+            to=attempt.placed.target.identity if attempt else None,
+            revision=configuration.revision if configuration else 0,
+            position=view.position,
+            view_age_ms=self.state.clock.now() - view.heard_ms,
+            status=status,
+            outcome=outcome.value,
+            reason=reason,
+            took_ms=took,
+        )
+
+
+def _tokens(values: list[str]) -> set[str]:
+    return {
+        token.strip().lower() for value in values for token in value.split(",")
+    }
+
+
+def _length(values: Mapping[str, list[str]], most: int) -> int | None:
+    """Read how long a body is.
+
+    Raises:
+        RequestError: when the head contradicts itself or the body is too
+            large.
+    """
+    if "transfer-encoding" in values:
+        if "content-length" in values:
+            raise RequestError(400, "two_lengths")
+        return None
+    found = set(values.get("content-length", ["0"]))
+    text = next(iter(found))
+    if len(found) > 1 or not (text.isascii() and text.isdigit()):
+        raise RequestError(400, "bad_length")
+    if int(text) > most:
+        raise RequestError(413, "body_too_large")
+    return int(text)
+
+
+def _deadline(values: list[str]) -> float:
+    if not values:
+        return DEADLINE_MS
+    try:
+        found = float(values[0])
+    except ValueError:
+        return DEADLINE_MS
+    if not 0 < found < DEADLINE_MOST_MS:
+        return DEADLINE_MS
+    return found
--- /dev/null
+++ b/wigeongw/gateway/host.py
@@ -0,0 +1,240 @@
+"""Puts an entry host together and runs it from start to graceful stop."""
+
+import asyncio
+from collections.abc import Coroutine
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from dataclasses import replace
+import random
+import resource
+from typing import Any
+
+from wigeongw.adapters import http_server
+from wigeongw.adapters.upstream_pool import UpstreamPool
+from wigeongw.core.addresses import split_address
+from wigeongw.core.clock import Clock
+from wigeongw.core.clock import seconds
+from wigeongw.core.site import Bounds
+from wigeongw.core.site import HostIdentity
+from wigeongw.daemon.metrics import Metrics
+from wigeongw.gateway.decision_log import DecisionLog
+from wigeongw.gateway.follower import Follower
+from wigeongw.gateway.forwarder import Forwarder
+from wigeongw.gateway.front import Front
+from wigeongw.gateway.front import Receive
+from wigeongw.gateway.front import Scope
+from wigeongw.gateway.front import Send
+from wigeongw.gateway.placer import Placer
+from wigeongw.gateway.prober import Prober
+from wigeongw.gateway.registrar import Registrar
+from wigeongw.gateway.state import HostState
+from wigeongw.ports.catalog import Catalog
+from wigeongw.ports.dialect import Dialect
+
+# After SIGTERM requests are taken for this part of the grace time: most
+# clients have asked for new addresses by then.
+STAY_SHARE = 0.58
+# Kept free at the end of the grace time for closing.
+LAST_MS = 250.0
+LOOK_MS = 20.0
+KIB = 1024
+
+
+@dataclass(frozen=True)
+class Surroundings:
+    """What a platform gives a host, behind ports.
+
+    Attributes:
+        own_apps: builds the applications for the readiness and directory
+            addresses from the host's state.
+    """
+
+    catalog: Catalog
+    dialect: Dialect
+    own_apps: Any
+
+
+class GatewayHost:
+    """One entry host; everything it opens belongs to one exit stack."""
+
+    def __init__(
+        self,
+        me: HostIdentity,
+        surroundings: Surroundings,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.clock = clock
+        self.began = clock.now()
+        self.log = DecisionLog(clock, me.name)
+        self.state = HostState(me, clock, rng, self.log, Metrics())
+        self.dialect = surroundings.dialect
+        self.pool = UpstreamPool(clock, self.dialect.names.request_id)
+        self.prober = Prober(self.state, self.pool, self.dialect)
+        self.follower = Follower(self.state, surroundings.catalog, self.pool)
+        self.registrar = Registrar(
+            self.state, surroundings.catalog, self.follower
+        )
+        placer = Placer(self.state, self.prober)
+        forwarder = Forwarder(self.state, placer, self.pool, self.dialect)
+        self.front = Front(self.state, forwarder, self.dialect)
+        self.own_apps = surroundings.own_apps
+        self.stop = asyncio.Event()
+
+    def request_stop(self) -> None:
+        """Begin a graceful stop; a second call changes nothing."""
+        self.stop.set()
+
+    def take_bounds(self, bounds: Bounds) -> None:
+        """Take over changed bounds."""
+        if bounds != self.state.me.bounds:
+            self.state.me = replace(self.state.me, bounds=bounds)
+            self.log.add("host", event="reload", bounds="changed")
+            return
+        self.log.add("host", event="reload", bounds="same")
+
+    async def run(self) -> None:
+        """Serve until a stop was asked for and has been carried out.
+
+        Raises:
+            OSError: when an address cannot be listened on.
+        """
+        async with AsyncExitStack() as stack:
+            stack.callback(self.log.flush)
+            stack.callback(self.pool.close)
+            stack.callback(self.prober.close)
+            for work in self._works():
+                self._start(stack, work)
+            server = self._listen(stack)
+            self.log.add(
+                "host",
+                event="start",
+                took_ms=self.clock.now() - self.began,
+                front=self.state.me.front,
+            )
+            await self.stop.wait()
+            await self._drain(server)
+
+    # Inside
+
+    def _works(self) -> list[Coroutine[Any, Any, None]]:
+        return [
+            self.log.run(),
+            self.follower.run(),
+            self.follower.run_settling(),
+            self.registrar.run(),
+            self.pool.run(),
+        ]
+
+    def _start(
+        self, stack: AsyncExitStack, work: Coroutine[Any, Any, None]
+    ) -> None:
+        """Run work until the stack closes; a task that fails stops us."""
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._ended)
+        stack.push_async_callback(_cancel, task)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled():
+            return
+        error = task.exception()
+        self.log.add("host", event="task_failed", cause=repr(error))
+        self.stop.set()
+
+    def _listen(self, stack: AsyncExitStack) -> http_server.EmbeddedServer:
+        me = self.state.me
+        apps = {
+            split_address(me.front)[1]: self.front,
+            **self.own_apps(self.state),
+        }
+        if me.metrics_port:
+            apps[me.metrics_port] = MetricsApp(self.state)
+        address = split_address(me.front)[0]
+        sockets = []
+        for port in apps:
+            sock = http_server.bind(f"{address}:{port}")
+            stack.callback(sock.close)
+            sockets.append(sock)
+        protocol = http_server.bounded_by(self.front.limits)
+        server = http_server.build(_Switch(apps), protocol)
+        task = asyncio.create_task(server.serve(sockets=sockets))
+        stack.push_async_callback(_finish, server, task)
+        return server
+
+    async def _drain(self, server: http_server.EmbeddedServer) -> None:
+        """Leave the answers, serve out what clients keep, then close."""
+        began = self.clock.now()
+        grace_ms = self.state.bounds.grace_ms
+        self.log.add("host", event="stopping", grace_ms=grace_ms)
+        self.state.stopping = True
+        self.front.killed_at = began + grace_ms - LAST_MS
+        withdrawing = asyncio.create_task(self.registrar.withdraw())
+        await asyncio.sleep(seconds(grace_ms * STAY_SHARE))
+        while (
+            self.front.in_progress and self.clock.now() < self.front.killed_at
+        ):
+            await asyncio.sleep(seconds(LOOK_MS))
+        server.should_exit = True
+        await asyncio.gather(withdrawing, return_exceptions=True)
+        self.log.add(
+            "host", event="stopped", in_progress=self.front.in_progress
+        )
+
+
+class _Switch:
+    """Hands a request to the application of the port it came in on."""
+
+    def __init__(self, apps: dict[int, Any]) -> None:
+        self.apps = apps
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        await self.apps[scope["server"][1]](scope, receive, send)
+
+
+class MetricsApp:
+    """Shows counters and histograms as text."""
+
+    def __init__(self, state: HostState) -> None:
+        self.state = state
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Answer with a line per series."""
+        if scope["type"] != "http":
+            return
+        peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * KIB
+        lines = [f"peak_memory_bytes {peak}", *self.state.metrics.lines()]
+        await answer(send, 200, "text/plain", "\n".join(lines) + "\n")
+
+
+async def answer(send: Send, status: int, media: str, text: str) -> None:
+    """Send a short answer of the host's own."""
+    body = text.encode()
+    headers = [
+        (b"content-type", media.encode()),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": headers,
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
+async def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+async def _finish(
+    server: http_server.EmbeddedServer, task: asyncio.Task[None]
+) -> None:
+    """Let a server finish what is in progress and close."""
+    server.should_exit = True
+    await asyncio.gather(task, return_exceptions=True)
--- /dev/null
+++ b/wigeongw/gateway/state.py
@@ -0,0 +1,222 @@
+"""What the tasks of one host share: its view, its upstreams, its log."""
+
+from dataclasses import dataclass
+from dataclasses import field
+import random
+
+from wigeongw.core.clock import Clock
+from wigeongw.core.site import Bounds
+from wigeongw.core.site import HostIdentity
+from wigeongw.core.site import LoadSample
+from wigeongw.core.site import Route
+from wigeongw.core.site import Service
+from wigeongw.core.site import Target
+from wigeongw.daemon.metrics import Metrics
+from wigeongw.decisions import learned
+from wigeongw.decisions import shares
+from wigeongw.decisions.learned import Risk
+from wigeongw.decisions.learned import Work
+from wigeongw.decisions.placing import Candidate
+from wigeongw.decisions.routing import index_routes
+from wigeongw.decisions.routing import RouteIndex
+from wigeongw.decisions.routing import Split
+from wigeongw.decisions.shares import Bucket
+from wigeongw.decisions.shares import RetryShare
+from wigeongw.decisions.site_view import SiteView
+from wigeongw.gateway.decision_log import DecisionLog
+
+# After an upstream could not be reached it is left alone for this long,
+# doubled with each further failure.
+REST_FIRST_MS = 150.0
+REST_MOST_MS = 1_200.0
+
+
+@dataclass(slots=True)
+class TargetState:
+    """What this host knows of one upstream.
+
+    Attributes:
+        began: when each request of this host in flight was sent.
+        rest_until: it could not be reached and is left alone until then.
+        misdirected: its address belongs to another upstream now.
+    """
+
+    target: Target
+    probes: Bucket
+    cold: Bucket
+    sample: LoadSample | None = None
+    risk: Risk = field(default_factory=Risk)
+    began: list[float] = field(default_factory=list)
+    rest_ms: float = 0.0
+    rest_until: float = 0.0
+    misdirected: bool = False
+
+    def note_unreachable(self, now: float) -> None:
+        """Leave it alone for a while."""
+        longer = min(REST_MOST_MS, 2.0 * self.rest_ms)
+        self.rest_ms = max(REST_FIRST_MS, longer)
+        self.rest_until = now + self.rest_ms
+
+    def note_reached(self) -> None:
+        """Forget earlier failures to reach it."""
+        self.rest_ms = 0.0
+        self.rest_until = 0.0
+
+
+class HostState:
+    """The state that a host's tasks share; all run on one event loop."""
+
+    def __init__(
+        self,
+        me: HostIdentity,
+        clock: Clock,
+        rng: random.Random,
+        log: DecisionLog,
+        metrics: Metrics,
+    ) -> None:
+        self.me = me
+        self.clock = clock
+        self.rng = rng
+        self.log = log
+        self.metrics = metrics
+        self.view = SiteView()
+        self.index = RouteIndex({})
+        self.splits: dict[str, Split] = {}
+        self.targets: dict[str, TargetState] = {}
+        self.by_service: dict[str, list[TargetState]] = {}
+        self.work: dict[tuple[str, str], Work] = {}
+        self.retries: dict[str, RetryShare] = {}
+        self.stopping = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether clients should be sent here."""
+        return self.view.configuration is not None and not self.stopping
+
+    @property
+    def bounds(self) -> Bounds:
+        """What was agreed for the site."""
+        return self.me.bounds
+
+    def take_view(self, view: SiteView) -> list[Target]:
+        """Take over a new view.
+
+        Returns:
+            Upstreams that are gone.
+        """
+        old = self.view
+        self.view = view
+        if view.configuration is not old.configuration:
+            self._take_configuration()
+        if view.targets is old.targets and (
+            view.configuration is old.configuration
+        ):
+            return []
+        return self._take_targets()
+
+    def split(self, route: Route) -> Split:
+        """Return how a route's requests are dealt."""
+        found = self.splits.get(route.name)
+        if found is None or found.shares != route.shares:
+            found = Split(route.shares, self.rng)
+            self.splits[route.name] = found
+        return found
+
+    def work_of(self, route: Route, service: str) -> Work:
+        """Return how long a route's requests take at a service."""
+        key = (route.name, service)
+        found = self.work.get(key)
+        if found is None:
+            found = learned.first_guess(route.objective_ms)
+            self.work[key] = found
+        return found
+
+    def retry_share(self, service: str) -> RetryShare:
+        """Return this host's part of a service's further sends."""
+        found = self.retries.get(service)
+        if found is None:
+            found = RetryShare(
+                self.bounds, len(self.view.hosts), self.clock.now()
+            )
+            self.retries[service] = found
+        return found
+
+    def service(self, name: str) -> Service | None:
+        """Return a service of the configuration in force."""
+        configuration = self.view.configuration
+        return configuration.services.get(name) if configuration else None
+
+    def usable(self, service: str) -> list[TargetState]:
+        """Return the upstreams of a service that may get requests."""
+        evacuated = self.view.evacuated
+        return [
+            state
+            for state in self.by_service.get(service, [])
+            if not state.target.draining
+            and not state.misdirected
+            and state.target.availability_zone not in evacuated
+        ]
+
+    def candidate(self, state: TargetState, now: float) -> Candidate:
+        """Describe an upstream for placing."""
+        sample = state.sample
+        seen = sample.at_ms if sample is not None else 0.0
+        sent = sum(1 for began in state.began if began >= seen)
+        return Candidate(
+            state.target,
+            self.is_near(state.target),
+            sample,
+            sent,
+            state.risk.now(now),
+            state.cold.refill(now) >= 1.0,
+        )
+
+    def is_near(self, target: Target) -> bool:
+        """Say whether an upstream is in this host's availability zone."""
+        return target.availability_zone == self.me.availability_zone
+
+    # Inside
+
+    def _take_configuration(self) -> None:
+        configuration = self.view.configuration
+        assert configuration is not None
+        self.index = index_routes(configuration)
+        names = {route.name for route in configuration.routes}
+        self.splits = {k: v for k, v in self.splits.items() if k in names}
+        self.work = {k: v for k, v in self.work.items() if k[0] in names}
+
+    def _take_targets(self) -> list[Target]:
+        gone = []
+        for identity, state in list(self.targets.items()):
+            if identity not in self.view.targets:
+                del self.targets[identity]
+                gone.append(state.target)
+        for identity, target in self.view.targets.items():
+            held = self.targets.get(identity)
+            if held is None or held.target.address != target.address:
+                self.targets[identity] = self._new_target(target)
+            else:
+                held.target = target
+        self.by_service = {}
+        for state in self.targets.values():
+            name = state.target.service
+            self.by_service.setdefault(name, []).append(state)
+        return gone
+
+    def _new_target(self, target: Target) -> TargetState:
+        now = self.clock.now()
+        near = sum(
+            1
+            for host in self.view.hosts.values()
+            if host.availability_zone == target.availability_zone
+        )
+        hosts = len(self.view.hosts)
+        service = self.service(target.service)
+        assumed = service or Service(target.service, "/", 1, 0.0, 1.0)
+        return TargetState(
+            target,
+            shares.probe_bucket(
+                self.bounds, near, hosts - near, self.is_near(target), now
+            ),
+            shares.cold_bucket(self.bounds, assumed, hosts, now, self.rng),
+        )
