--- a/wigeongw/adapters/http_server.py
+++ b/wigeongw/adapters/http_server.py
@@ -24,6 +24,9 @@
 # Idle connections are closed a little later than clients are told.
 IDLE_SLACK_MS = 500.0
 BACKLOG = 2048
+# The request target as the client sent it, which a path and a query cannot
+# always be put together to.
+TARGET = "wigeongw.target"
 TOO_LARGE = "The head of the request is too large"
 
 
@@ -81,7 +84,7 @@
         if size > type(self).limits_of().head_bytes:
             self._refuse()
             return
-        self.scope["wigeongw.target"] = self.url
+        self.scope["extensions"] = {TARGET: {"raw": self.url}}
         super().on_headers_complete()
 
     def _refuse(self) -> None:
@@ -156,7 +159,7 @@
     class Bounded(BoundedProtocol):
         """HTTP/1.1 within the limits in force."""
 
-    Bounded.limits_of = staticmethod(limits_of)  # type: ignore[assignment]
+    Bounded.limits_of = staticmethod(limits_of)
     return Bounded
 
 
--- a/wigeongw/gateway/forwarder.py
+++ b/wigeongw/gateway/forwarder.py
@@ -404,5 +404,3 @@
 
 def _line(name: str, value: str) -> bytes:
     return f"{name}: {value}".encode("latin-1")
-
-
--- a/wigeongw/gateway/front.py
+++ b/wigeongw/gateway/front.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from wigeongw.adapters.http_server import TARGET
 from wigeongw.adapters.upstream_connection import Reply
 from wigeongw.core.clock import MS_PER_S
 from wigeongw.core.clock import seconds
@@ -37,7 +38,7 @@
 STOPPING_MS = 20.0
 # Time for an answer to reach its client before this host is killed.
 LAST_ANSWER_MS = 300.0
-DROPPED_FROM_CLIENT = HOP_BY_HOP | {b.decode() for b in (b"content-length",)}
+DROPPED_FROM_CLIENT = HOP_BY_HOP | {"content-length"}
 CLOSE = (b"connection", b"close")
 
 
@@ -70,6 +71,8 @@
         self.forwarder = forwarder
         self.dialect = dialect
         self.in_progress = 0
+        self.nobody = asyncio.Event()
+        self.nobody.set()
         self.killed_at: float | None = None
 
     async def __call__(
@@ -79,10 +82,20 @@
         if scope["type"] != "http":
             return
         self.in_progress += 1
+        self.nobody.clear()
         try:
             await _Exchange(self, scope, receive, send).run()
         finally:
             self.in_progress -= 1
+            if not self.in_progress:
+                self.nobody.set()
+
+    async def idle(self, until: float) -> None:
+        """Wait until no request is in progress, or a time has come."""
+        left = until - self.state.clock.now()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds(max(0.0, left))):
+                await self.nobody.wait()
 
     def find(self, fields: _Fields, path: str) -> Route:
         """Find the route of a request.
@@ -244,8 +257,9 @@
             raise RequestError(408, "body_too_slow") from error
 
     def _target(self) -> bytes:
-        target = self.scope.get("wigeongw.target")
-        if target is not None and target.startswith(b"/"):
+        extensions = self.scope.get("extensions") or {}
+        target = extensions.get(TARGET, {}).get("raw", b"")
+        if target.startswith(b"/"):
             return bytes(target)
         query = self.scope["query_string"]
         path = self.scope["raw_path"]
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -36,7 +36,6 @@
 STAY_SHARE = 0.58
 # Kept free at the end of the grace time for closing.
 LAST_MS = 250.0
-LOOK_MS = 20.0
 KIB = 1024
 
 
@@ -170,10 +169,7 @@
         self.front.killed_at = began + grace_ms - LAST_MS
         withdrawing = asyncio.create_task(self.registrar.withdraw())
         await asyncio.sleep(seconds(grace_ms * STAY_SHARE))
-        while (
-            self.front.in_progress and self.clock.now() < self.front.killed_at
-        ):
-            await asyncio.sleep(seconds(LOOK_MS))
+        await self.front.idle(self.front.killed_at)
         server.should_exit = True
         await asyncio.gather(withdrawing, return_exceptions=True)
         self.log.add(
--- a/wigeongw/gateway/placer.py
+++ b/wigeongw/gateway/placer.py
@@ -174,9 +174,7 @@
         now = self.state.clock.now()
         by_identity = {s.target.identity: s for s in states}
         candidates = [
-            self.state.candidate(s, now)
-            for s in states
-            if s.rest_until <= now
+            self.state.candidate(s, now) for s in states if s.rest_until <= now
         ]
         ordered = placing.probe_order(candidates, self.state.rng)
         return [by_identity[c.target.identity] for c in ordered]
