--- a/wigeongw/core/site.py
+++ b/wigeongw/core/site.py
@@ -141,7 +141,8 @@
     Attributes:
         at_ms: when it was heard.
         slowdown: how long work takes there now; 1 is usual.
-        cold_left_ms: how much longer it stays cold.
+        cold_left_ms: how much longer it stays cold; None when it does not
+            say, as in answers to requests.
         healthy: whether it considers itself fit.
     """
 
@@ -150,7 +151,7 @@
     waiting: int
     slots: int
     slowdown: float = 1.0
-    cold_left_ms: float = 0.0
+    cold_left_ms: float | None = None
     healthy: bool = True
 
 
--- a/wigeongw/decisions/placing.py
+++ b/wigeongw/decisions/placing.py
@@ -16,17 +16,19 @@
 from wigeongw.core.site import LoadSample
 from wigeongw.core.site import Target
 
-# Work slows down on upstreams that are nearly full.
+# Work may slow down on upstreams that are nearly full, so the last slots are
+# left free while others have room.
 KNEE_SHARE = 0.8
-KNEE_FACTOR = 1.5
+KNEE_FACTOR = 1.7
 # A sample says how fast an upstream is for about this long.
 SAMPLE_LASTS_MS = 150.0
 # What is assumed of an upstream's slowness when nothing fresh is known.
 UNKNOWN_SLOWDOWN = 2.0
 COLD_SLOWDOWN = 2.0
-# Requests waiting at an upstream, in slots, above which it may turn the next
-# one away; other hosts send at the same time.
-FULL_WAITING = 1.0
+# What is assumed of the slots in use where nothing fresh is known.
+UNKNOWN_BUSY = 0.5
+# A probe vouches for a warm upstream this long.
+WARM_LASTS_MS = 400.0
 # A near upstream is taken without looking further while it should finish
 # within this part of the objective.
 NEAR_ENOUGH = 0.7
@@ -45,7 +47,9 @@
         sample: the latest word of its load, if any.
         sent: requests of this host that its sample does not show yet.
         risk: recent share of failures, 0 to 1.
-        cold_open: whether this host may send it a request while cold.
+        cold: it is in its cold start.
+        doubtful: it is cold or may be.
+        cold_open: whether this host may send it a request all the same.
     """
 
     target: Target
@@ -53,6 +57,8 @@
     sample: LoadSample | None
     sent: int
     risk: float
+    cold: bool
+    doubtful: bool
     cold_open: bool
 
 
@@ -68,55 +74,61 @@
     target: Target
     expected_ms: float
     score_ms: float
-    cold: bool
+    doubtful: bool
 
 
-def estimate(candidate: Candidate, work_ms: float, now: float) -> float:
+def estimate(
+    candidate: Candidate, work_ms: float, busy: float, now: float
+) -> float:
     """Estimate how long a request would take there, in milliseconds.
 
     Args:
         candidate: the upstream.
         work_ms: what the request takes on a usual upstream.
+        busy: the share of slots in use at the service's upstreams.
         now: monotonic clock.
     """
-    slots = max(1, candidate.target.slots)
     sample = candidate.sample
-    if sample is None:
-        ahead = float(candidate.sent)
-        slowdown = UNKNOWN_SLOWDOWN
-    else:
+    slowdown = UNKNOWN_SLOWDOWN
+    if sample is not None:
         age = _age(sample, now)
-        ahead = candidate.sent + (sample.running + sample.waiting) * (1 - age)
-        slots = max(1, sample.slots or slots)
         slowdown = sample.slowdown * (1 - age) + UNKNOWN_SLOWDOWN * age
-    if is_cold(candidate, now):
+    if candidate.cold:
         slowdown = max(slowdown, COLD_SLOWDOWN)
-    return work_ms * slowdown * _queue_factor(ahead, slots)
+    ahead = requests_ahead(candidate, busy, now)
+    return work_ms * slowdown * _queue_factor(ahead, slots_of(candidate))
 
 
-def is_cold(candidate: Candidate, now: float) -> bool:
-    """Say whether an upstream is in its cold start."""
+def slots_of(candidate: Candidate) -> int:
+    """Return how many requests an upstream runs at a time."""
     sample = candidate.sample
-    if sample is not None:
-        return sample.at_ms + sample.cold_left_ms > now
-    return candidate.target.cold_left_ms > 0
+    said = sample.slots if sample is not None else 0
+    return max(1, said or candidate.target.slots)
 
 
-def is_full(candidate: Candidate, now: float) -> bool:
-    """Say whether an upstream may turn away one more request."""
+def requests_ahead(candidate: Candidate, busy: float, now: float) -> float:
+    """Return how many requests an upstream probably has now."""
+    usual = busy * slots_of(candidate)
     sample = candidate.sample
     if sample is None:
-        return candidate.sent >= 2 * max(1, candidate.target.slots)
-    slots = max(1, sample.slots or candidate.target.slots)
-    known = (sample.running + sample.waiting) * (1 - _age(sample, now))
-    waiting = known + candidate.sent - slots
-    return waiting >= FULL_WAITING * slots
+        return candidate.sent + usual
+    age = _age(sample, now)
+    seen = sample.running + sample.waiting
+    return candidate.sent + seen * (1 - age) + usual * age
+
+
+def is_full(candidate: Candidate, busy: float, now: float) -> bool:
+    """Say whether one more request would slow an upstream down."""
+    slots = slots_of(candidate)
+    ahead = requests_ahead(candidate, busy, now)
+    return ahead + 1 > max(1.0, KNEE_SHARE * slots)
 
 
 def choose(
     candidates: Iterable[Candidate],
     work_ms: float,
     objective_ms: float,
+    busy: float,
     now: float,
     rng: random.Random,
 ) -> Placement | None:
@@ -126,6 +138,7 @@
         candidates: upstreams that may be used at all.
         work_ms: what the request takes on a usual upstream.
         objective_ms: what is left of its objective.
+        busy: the share of slots in use at the service's upstreams.
         now: monotonic clock.
         rng: breaks ties.
 
@@ -135,12 +148,14 @@
     best: Placement | None = None
     near_best: Placement | None = None
     for candidate in candidates:
-        cold = is_cold(candidate, now)
-        if is_full(candidate, now) or (cold and not candidate.cold_open):
+        closed = candidate.doubtful and not candidate.cold_open
+        if closed or is_full(candidate, busy, now):
             continue
-        expected = estimate(candidate, work_ms, now)
+        expected = estimate(candidate, work_ms, busy, now)
         score = _score(candidate, expected, objective_ms, rng)
-        placed = Placement(candidate.target, expected, score, cold)
+        placed = Placement(
+            candidate.target, expected, score, candidate.doubtful
+        )
         if best is None or score < best.score_ms:
             best = placed
         if candidate.near and (
--- a/wigeongw/gateway/forwarder.py
+++ b/wigeongw/gateway/forwarder.py
@@ -35,6 +35,8 @@
 # An upstream stops a little before the client is answered here.
 UPSTREAM_MARGIN_MS = 2.0
 RETRY_AFTER_FAILED_MS = 100.0
+# Timers may fire this much early.
+TIMER_SLACK_MS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,7 +131,8 @@
         while True:
             done = await self._next(request, trail)
             if done is None:
-                if self.state.clock.now() >= request.ends_at:
+                left = request.ends_at - self.state.clock.now()
+                if left < TIMER_SLACK_MS:
                     raise self._timed_out(trail)
                 await self._second(request, trail)
                 continue
@@ -252,7 +255,7 @@
         if state is None:
             return Attempt(placed, None, Outcome.NOT_RUN, False, "gone")
         now = self.state.clock.now()
-        if placed.cold and not state.cold.take(now):
+        if placed.doubtful and not state.cold.take(now):
             return Attempt(placed, None, Outcome.NOT_RUN, False, "cold")
         began = now
         state.began.append(began)
@@ -305,9 +308,9 @@
         names = self.dialect.names
         if reply.rest is None:
             self.pool.give_back(placed.target, connection)
-        sample = self.dialect.load(reply.fields, now, True)
-        if sample is not None and sample.at_ms > _sampled(state):
-            state.sample = sample
+        sample = self.dialect.load(reply.fields, now, True, False)
+        if sample is not None:
+            state.take(sample)
         instance = reply.fields.get(names.instance)
         misdirected = reply.status == MISDIRECTED and (
             instance is not None and instance != placed.target.identity
@@ -385,7 +388,7 @@
             zone=placed.target.availability_zone,
             why=why,
             expected_ms=placed.expected_ms,
-            cold=int(placed.cold),
+            doubtful=int(placed.doubtful),
             sample_age_ms=now - sample.at_ms if sample else None,
             running=sample.running if sample else None,
             waiting=sample.waiting if sample else None,
@@ -398,9 +401,5 @@
         self.state.log.add(part, id=request.identity, reason=reason)
 
 
-def _sampled(state: TargetState) -> float:
-    return state.sample.at_ms if state.sample else 0.0
-
-
 def _line(name: str, value: str) -> bytes:
     return f"{name}: {value}".encode("latin-1")
--- a/wigeongw/gateway/placer.py
+++ b/wigeongw/gateway/placer.py
@@ -103,6 +103,7 @@
                 (self.state.candidate(s, now) for s in self._awake(states)),
                 work,
                 objective,
+                self.state.busy_at(wanted.service),
                 now,
                 self.state.rng,
             )
--- a/wigeongw/gateway/prober.py
+++ b/wigeongw/gateway/prober.py
@@ -102,6 +102,6 @@
             return
         target.note_reached()
         healthy = reply.status == HEALTHY
-        sample = self.dialect.load(reply.fields, now, healthy)
+        sample = self.dialect.load(reply.fields, now, healthy, True)
         if sample is not None:
-            target.sample = sample
+            target.take(sample)
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -13,6 +13,7 @@
 from wigeongw.core.site import Target
 from wigeongw.daemon.metrics import Metrics
 from wigeongw.decisions import learned
+from wigeongw.decisions import placing
 from wigeongw.decisions import shares
 from wigeongw.decisions.learned import Risk
 from wigeongw.decisions.learned import Work
@@ -29,6 +30,8 @@
 # doubled with each further failure.
 REST_FIRST_MS = 150.0
 REST_MOST_MS = 1_200.0
+# Samples up to this age tell how busy a service is as a whole.
+BUSY_LASTS_MS = 1_000.0
 
 
 @dataclass(slots=True)
@@ -37,6 +40,8 @@
 
     Attributes:
         began: when each request of this host in flight was sent.
+        cold_until: when its cold start ends, as far as is known.
+        warm_at: when a probe last said that it is warm.
         rest_until: it could not be reached and is left alone until then.
         misdirected: its address belongs to another upstream now.
     """
@@ -45,12 +50,26 @@
     probes: Bucket
     cold: Bucket
     sample: LoadSample | None = None
+    cold_until: float = 0.0
+    warm_at: float = float("-inf")
     risk: Risk = field(default_factory=Risk)
     began: list[float] = field(default_factory=list)
     rest_ms: float = 0.0
     rest_until: float = 0.0
     misdirected: bool = False
 
+    def take(self, sample: LoadSample) -> None:
+        """Take in what it said of its load."""
+        held = self.sample
+        if held is None or sample.at_ms >= held.at_ms:
+            self.sample = sample
+        left = sample.cold_left_ms
+        if left is None:
+            return
+        self.cold_until = sample.at_ms + left
+        if left <= 0 and sample.at_ms > self.warm_at:
+            self.warm_at = sample.at_ms
+
     def note_unreachable(self, now: float) -> None:
         """Leave it alone for a while."""
         longer = min(REST_MOST_MS, 2.0 * self.rest_ms)
@@ -162,15 +181,30 @@
         sample = state.sample
         seen = sample.at_ms if sample is not None else 0.0
         sent = sum(1 for began in state.began if began >= seen)
+        cold = state.cold_until > now
         return Candidate(
             state.target,
             self.is_near(state.target),
             sample,
             sent,
             state.risk.now(now),
+            cold,
+            cold or now - state.warm_at > placing.WARM_LASTS_MS,
             state.cold.refill(now) >= 1.0,
         )
 
+    def busy_at(self, service: str) -> float:
+        """Return the share of slots in use, from what was sampled last."""
+        now = self.clock.now()
+        used = slots = 0
+        for state in self.by_service.get(service, []):
+            sample = state.sample
+            if sample is None or now - sample.at_ms > BUSY_LASTS_MS:
+                continue
+            used += sample.running + sample.waiting
+            slots += sample.slots
+        return min(1.0, used / slots) if slots else placing.UNKNOWN_BUSY
+
     def is_near(self, target: Target) -> bool:
         """Say whether an upstream is in this host's availability zone."""
         return target.availability_zone == self.me.availability_zone
@@ -193,7 +227,7 @@
                 gone.append(state.target)
         for identity, target in self.view.targets.items():
             held = self.targets.get(identity)
-            if held is None or held.target.address != target.address:
+            if held is None or _is_another(held.target, target):
                 self.targets[identity] = self._new_target(target)
             else:
                 held.target = target
@@ -205,18 +239,17 @@
 
     def _new_target(self, target: Target) -> TargetState:
         now = self.clock.now()
-        near = sum(
-            1
-            for host in self.view.hosts.values()
-            if host.availability_zone == target.availability_zone
-        )
         hosts = len(self.view.hosts)
         service = self.service(target.service)
         assumed = service or Service(target.service, "/", 1, 0.0, 1.0)
         return TargetState(
             target,
-            shares.probe_bucket(
-                self.bounds, near, hosts - near, self.is_near(target), now
-            ),
+            shares.probe_bucket(self.bounds, hosts, now),
             shares.cold_bucket(self.bounds, assumed, hosts, now, self.rng),
+            cold_until=now + target.cold_left_ms,
         )
+
+
+def _is_another(held: Target, found: Target) -> bool:
+    """Say whether an entry is of another start of its upstream."""
+    return held.address != found.address or held.born_ms != found.born_ms
--- a/wigeongw/ports/dialect.py
+++ b/wigeongw/ports/dialect.py
@@ -33,7 +33,11 @@
     names: HeaderNames
 
     def load(
-        self, headers: dict[str, str], now: float, healthy: bool
+        self,
+        headers: dict[str, str],
+        now: float,
+        healthy: bool,
+        probed: bool,
     ) -> LoadSample | None:
         """Read what an answer says of its upstream's load.
 
@@ -41,6 +45,7 @@
             headers: by name in lower case.
             now: milliseconds on the monotonic clock.
             healthy: what the answer's status says.
+            probed: it answers a probe, which alone says what is cold.
 
         Returns:
             None when the answer says nothing that can be read.
