--- a/wigeongw/decisions/patience.py
+++ b/wigeongw/decisions/patience.py
@@ -12,6 +12,8 @@
 # longer waits lead to late answers, which are worth little to the caller.
 QUEUE_SHARE = 0.5
 QUEUE_MOST = 64
+# Up to this part of its objective a request waits for a fast upstream.
+PICKY_SHARE = 0.35
 # When the first answer is later than expected by this factor, and this part
 # of the objective has gone, a second upstream is asked.
 LATE_FACTOR = 1.6
@@ -32,6 +34,11 @@
     return min(arrived + QUEUE_SHARE * objective_ms, deadline - MARGIN_MS)
 
 
+def picky_ends(arrived: float, objective_ms: float) -> float:
+    """Return until when a slow upstream is no place for a request."""
+    return arrived + PICKY_SHARE * objective_ms
+
+
 def second_try_after(expected_ms: float, objective_ms: float) -> float:
     """Return after how long a second upstream is worth a try."""
     return max(expected_ms * LATE_FACTOR, objective_ms * LATE_SHARE)
--- a/wigeongw/decisions/placing.py
+++ b/wigeongw/decisions/placing.py
@@ -4,8 +4,11 @@
 a second: what is older than that says little, so a host probes a few
 upstreams at the moment of sending and takes the one that should finish
 first. Upstreams near by go first while they keep the objective, since every
-byte between availability zones is paid for. At full load, when every
-upstream has work waiting, the estimate is the time in its queue.
+byte between availability zones is paid for.
+
+Work keeps the speed that its upstream had when it began. Under heavy load a
+request on a slow upstream is late itself and blocks a slot long after the
+upstream is fast again, so requests rather wait a moment for a fast one.
 """
 
 from collections.abc import Iterable
@@ -32,6 +35,8 @@
 # A near upstream is taken without looking further while it should finish
 # within this part of the objective.
 NEAR_ENOUGH = 0.7
+# An upstream slower than this is passed over while a request may wait.
+SLOW = 2.5
 # How much a failure weighs, in objectives.
 RISK_WEIGHT = 2.0
 UNHEALTHY_RISK = 0.4
@@ -88,17 +93,22 @@
         busy: the share of slots in use at the service's upstreams.
         now: monotonic clock.
     """
-    sample = candidate.sample
-    slowdown = UNKNOWN_SLOWDOWN
-    if sample is not None:
-        age = _age(sample, now)
-        slowdown = sample.slowdown * (1 - age) + UNKNOWN_SLOWDOWN * age
+    slowdown = slowdown_of(candidate, now)
     if candidate.cold:
         slowdown = max(slowdown, COLD_SLOWDOWN)
     ahead = requests_ahead(candidate, busy, now)
     return work_ms * slowdown * _queue_factor(ahead, slots_of(candidate))
 
 
+def slowdown_of(candidate: Candidate, now: float) -> float:
+    """Return how slow an upstream probably is; 1 is usual."""
+    sample = candidate.sample
+    if sample is None:
+        return UNKNOWN_SLOWDOWN
+    age = _age(sample, now)
+    return sample.slowdown * (1 - age) + UNKNOWN_SLOWDOWN * age
+
+
 def slots_of(candidate: Candidate) -> int:
     """Return how many requests an upstream runs at a time."""
     sample = candidate.sample
@@ -131,6 +141,7 @@
     busy: float,
     now: float,
     rng: random.Random,
+    picky: bool = False,
 ) -> Placement | None:
     """Choose where a request should go.
 
@@ -141,9 +152,10 @@
         busy: the share of slots in use at the service's upstreams.
         now: monotonic clock.
         rng: breaks ties.
+        picky: pass over what is slow now.
 
     Returns:
-        None when every upstream is full or too cold.
+        None when every upstream is full, too cold or too slow.
     """
     best: Placement | None = None
     near_best: Placement | None = None
@@ -151,6 +163,8 @@
         closed = candidate.doubtful and not candidate.cold_open
         if closed or is_full(candidate, busy, now):
             continue
+        if picky and slowdown_of(candidate, now) > SLOW:
+            continue
         expected = estimate(candidate, work_ms, busy, now)
         score = _score(candidate, expected, objective_ms, rng)
         placed = Placement(
--- a/wigeongw/gateway/placer.py
+++ b/wigeongw/gateway/placer.py
@@ -106,6 +106,10 @@
                 self.state.busy_at(wanted.service),
                 now,
                 self.state.rng,
+                now
+                < patience.picky_ends(
+                    wanted.arrived, wanted.route.objective_ms
+                ),
             )
             good = placed is not None and placing.is_good(placed, objective)
             if good or not unasked:
