--- /dev/null
+++ b/wigeongw/decisions/shares_test.py
@@ -0,0 +1,101 @@
+"""Parts of bounds over all hosts, added up over every window."""
+
+from collections.abc import Callable
+import random
+import unittest
+
+from wigeongw.core.site import Bounds
+from wigeongw.core.site import Service
+from wigeongw.decisions import shares
+from wigeongw.decisions.shares import Bucket
+from wigeongw.decisions.shares import RetryShare
+
+STEP_MS = 5.0
+BOUNDS = Bounds()
+SERVICE = Service("dial-watch", "/health", 260, 3_000.0, 9.3)
+
+
+def most_in_window(times: list[float], window_ms: float) -> int:
+    times.sort()
+    most = first = 0
+    for last, at in enumerate(times):
+        while times[first] <= at - window_ms:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+def greedy(build: Callable[[], Bucket], hosts: int, ms: float) -> list[float]:
+    """Let every host take each token the moment that it is there."""
+    buckets = [build() for _ in range(hosts)]
+    taken = []
+    at = 0.0
+    while at < ms:
+        taken.extend(at for bucket in buckets if bucket.take(at))
+        at += STEP_MS
+    return taken
+
+
+class ProbeBucketTest(unittest.TestCase):
+    def test_all_hosts_together_keep_the_budget_in_any_second(self) -> None:
+        for hosts in (1, 4, 12, 17, 128):
+            for added in (0, int(hosts * shares.SPARE_HOSTS_RATIO)):
+                with self.subTest(hosts=hosts, added=added):
+                    taken = greedy(
+                        lambda n=hosts: shares.probe_bucket(BOUNDS, n, 0.0),
+                        hosts + added,
+                        5_000.0,
+                    )
+                    bound = max(BOUNDS.probes_per_s, hosts + added)
+                    most = most_in_window(taken, 1_000.0)
+                    self.assertLessEqual(most, bound)
+
+
+class ColdBucketTest(unittest.TestCase):
+    def test_all_hosts_together_spare_a_cold_upstream(self) -> None:
+        bound = SERVICE.cold_per_s * BOUNDS.cold_over + BOUNDS.cold_slack
+        for seed in range(40):
+            rng = random.Random(seed)
+            for hosts in (1, 12, 17):
+                with self.subTest(seed=seed, hosts=hosts):
+                    taken = greedy(
+                        lambda n=hosts, r=rng: shares.cold_bucket(
+                            BOUNDS, SERVICE, n, 0.0, r
+                        ),
+                        hosts,
+                        6_000.0,
+                    )
+                    most = most_in_window(taken, 1_000.0)
+                    self.assertLessEqual(most, bound)
+
+
+class RetryShareTest(unittest.TestCase):
+    def test_all_hosts_together_keep_the_bound(self) -> None:
+        """Every request fails, on every host, for half a minute."""
+        for hosts, per_s in ((17, 140.0), (12, 50.0), (17, 0.0), (1, 30.0)):
+            with self.subTest(hosts=hosts, per_s=per_s):
+                sent = self.play(hosts, per_s)
+                window = BOUNDS.retry_window_ms
+                requests = per_s * window / 1_000.0
+                bound = BOUNDS.retry_ratio * requests + BOUNDS.retry_slack
+                self.assertLessEqual(most_in_window(sent, window), bound)
+
+    def play(self, hosts: int, per_s: float) -> list[float]:
+        parts = [RetryShare(BOUNDS, hosts, 0.0) for _ in range(hosts)]
+        sent = []
+        due = 0.0
+        at = 0.0
+        turn = 0
+        while at < 30_000.0:
+            due += per_s * STEP_MS / 1_000.0
+            while due >= 1.0:
+                due -= 1.0
+                turn += 1
+                parts[turn % hosts].earn(at)
+            sent.extend(at for part in parts if part.spend(at))
+            at += STEP_MS
+        return sent
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/wigeongw/gateway/answers_test.py
@@ -0,0 +1,287 @@
+"""What clients are told, and what upstreams were handed."""
+
+import asyncio
+import unittest
+
+import aiohttp
+
+from standins.scripted import text
+from wigeongw.core.site import Target
+from wigeongw.gateway.host_case import configuration
+from wigeongw.gateway.host_case import HostCase
+from wigeongw.gateway.host_case import NAMES
+from wigeongw.gateway.host_case import SIGNED
+from wigeongw.ports.catalog import TargetGone
+from wigeongw.ports.catalog import ZoneEvacuated
+
+SHED = text(503, b"", f"{NAMES.not_run}: 1")
+GOOD = text(200, b"done", SIGNED)
+FAILED = text(500, b"sorry", SIGNED)
+UNSIGNED = text(200, b"done")
+CUT = text(200, b"do", SIGNED, length=4)
+FOREIGN = text(200, b"other", SIGNED, f"{NAMES.request_id}: other")
+
+
+class ServedTest(HostCase):
+    async def test_request_and_answer_pass_unchanged(self) -> None:
+        await self.publish_all()
+        target = "/write/x%2Fy?q=1&q=%20"
+        status, body, headers = await self.send(
+            target, "POST", data=b"payload"
+        )
+        self.assertEqual((status, body), (200, b"done"))
+        self.assertEqual(headers[NAMES.signature], "proof")
+        heard = [h for u in self.upstreams for h in u.ran]
+        self.assertEqual(len(heard), 1)
+        self.assertEqual(heard[0].target, target)
+        self.assertEqual(heard[0].body, b"payload")
+        self.assertEqual(heard[0].headers[NAMES.request_id], "id-1")
+        left = int(heard[0].headers[NAMES.deadline_ms])
+        self.assertTrue(0 < left <= 2_000)
+
+    async def test_no_configuration_is_no_wrong_address(self) -> None:
+        status, _, headers = await self.send("/read/x")
+        self.assertEqual(status, 503)
+        self.assertIn("retry-after", headers)
+        await self.publish_all()
+        for host, path in (("b.example", "/read/x"), ("a.example", "/x")):
+            with self.subTest(host=host, path=path):
+                status, _, _ = await self.send(path, host=host)
+                self.assertEqual(status, 404)
+
+    async def test_long_answers_pass_whole_or_cut_for_all_to_see(
+        self,
+    ) -> None:
+        await self.publish_all()
+        long = bytes(range(256)) * 12_000
+        for upstream in self.upstreams:
+            upstream.pieces = [text(200, long, SIGNED)]
+        status, body, _ = await self.send("/fetch/x")
+        self.assertEqual((status, body), (200, long))
+        for upstream in self.upstreams:
+            upstream.pieces = [
+                text(200, long, SIGNED, length=len(long) + 9),
+                b"CLOSE",
+            ]
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await self.send("/fetch/x")
+
+    async def test_work_ends_when_its_client_leaves(self) -> None:
+        await self.publish_all(timeout_ms=5_000.0, objective_ms=5_000.0)
+        for upstream in self.upstreams:
+            upstream.pieces = [b"HANG"]
+        asked = asyncio.create_task(self.send("/read/x"))
+        await self.until(lambda: self.ran() == 1)
+        asked.cancel()
+        await asyncio.gather(asked, return_exceptions=True)
+        await self.until(lambda: self.host.front.in_progress == 0, 1.0)
+        states = self.host.state.targets.values()
+        self.assertTrue(all(not s.began for s in states))
+
+
+class FailuresTest(HostCase):
+    """First and second answer, and what the client gets."""
+
+    async def test_one_upstream_fails_and_the_other_does_not(self) -> None:
+        await self.publish_all()
+        cases = (
+            ("idempotent, shed", "/read/x", "GET", SHED, 200, 2),
+            ("idempotent, failed", "/read/x", "GET", FAILED, 200, 2),
+            ("idempotent, cut", "/read/x", "GET", CUT, 200, 2),
+            ("idempotent, unsigned", "/read/x", "GET", UNSIGNED, 200, 2),
+            ("download, cut", "/fetch/x", "GET", CUT, 200, 2),
+            ("once, shed", "/write/x", "POST", SHED, 200, 2),
+            ("once, failed", "/write/x", "POST", FAILED, 500, 1),
+            ("once, cut", "/write/x", "POST", CUT, 502, 1),
+            ("once, unsigned", "/write/x", "POST", UNSIGNED, 502, 1),
+            ("once, foreign", "/write/x", "POST", FOREIGN, 502, 1),
+            ("once, no answer", "/write/x", "POST", b"", 502, 1),
+        )
+        one, two = self.upstreams
+        for case, path, method, answer, status, sends in cases:
+            with self.subTest(case=case):
+                # The second upstream looks busier, so the first is chosen.
+                one.load, two.load = "0,0,4,1", "2,0,4,2"
+                one.pieces, two.pieces = [answer, b"CLOSE"], [GOOD]
+                before = self.ran()
+                self.refill()
+                found, _, _ = await self.send(path, method)
+                self.assertEqual(found, status)
+                self.assertEqual(self.ran() - before, sends)
+
+    async def test_not_run_is_said_only_when_it_is_certain(self) -> None:
+        await self.publish_all()
+        cases = (
+            ("both shed", SHED, "/write/x", "POST", 503),
+            ("both shed", SHED, "/read/x", "GET", 503),
+            ("both cut", CUT, "/read/x", "GET", 502),
+            ("both fail", FAILED, "/read/x", "GET", 500),
+        )
+        for case, answer, path, method, status in cases:
+            with self.subTest(case=case, path=path):
+                for upstream in self.upstreams:
+                    upstream.pieces = [answer, b"CLOSE"]
+                self.refill()
+                found, _, headers = await self.send(path, method)
+                self.assertEqual(found, status)
+                self.assertEqual("retry-after" in headers, status == 503)
+
+    async def test_silence_ends_at_the_routes_timeout(self) -> None:
+        await self.publish_all(timeout_ms=300.0, objective_ms=200.0)
+        for upstream in self.upstreams:
+            upstream.pieces = [b"HANG"]
+        began = self.host.clock.now()
+        status, _, _ = await self.send("/write/x", "POST")
+        took = self.host.clock.now() - began
+        self.assertEqual(status, 504)
+        self.assertTrue(290.0 <= took <= 550.0, took)
+
+    async def test_a_late_idempotent_request_goes_to_a_second(self) -> None:
+        await self.publish_all(objective_ms=200.0)
+        one, two = self.upstreams
+        one.load, two.load = "0,0,4,1", "2,0,4,2"
+        one.pieces = [b"HANG"]
+        self.refill()
+        status, _, _ = await self.send("/read/x")
+        self.assertEqual(status, 200)
+        self.assertEqual((len(one.ran), len(two.ran)), (1, 1))
+
+    async def test_contradicting_heads_are_refused(self) -> None:
+        await self.publish_all()
+        cases = (
+            ("two lengths", "Content-Length: 3\r\nContent-Length: 4\r\n"),
+            (
+                "length and chunks",
+                "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+            ),
+            ("no host", ""),
+        )
+        for case, lines in cases:
+            with self.subTest(case=case):
+                host = "" if case == "no host" else "Host: a.example\r\n"
+                head = f"POST /write/x HTTP/1.1\r\n{host}{lines}\r\n"
+                status = await self.raw(head.encode() + b"abcd")
+                self.assertEqual(status, b"400")
+        self.assertEqual(self.ran(), 0)
+
+    async def raw(self, request: bytes) -> bytes:
+        address, port = self.host.state.me.front.split(":")
+        reader, writer = await asyncio.open_connection(address, int(port))
+        writer.write(request)
+        async with asyncio.timeout(5.0):
+            line = await reader.readline()
+        writer.close()
+        return line.split(b" ")[1]
+
+    def refill(self) -> None:
+        """Forget what was learned and give the budgets back."""
+        self.host.state.retries.clear()
+        for state in self.host.state.targets.values():
+            state.probes.tokens = 1.0
+            state.sample = None
+            state.risk.value = 0.0
+            state.rest_until = 0.0
+
+
+class PlacesTest(HostCase):
+    async def test_what_leaves_gets_nothing_more(self) -> None:
+        await self.publish_all()
+        one, two = self.upstreams
+        draining = Target(
+            "one", "s", one.server.address, "amman", 4, draining=True
+        )
+        for change in (draining, TargetGone("one"), ZoneEvacuated("amman")):
+            with self.subTest(change=change):
+                await self.catalog.publish(
+                    one.target(), two.target("irbid"), change
+                )
+                await asyncio.sleep(2.0)
+                before = len(one.ran)
+                for number in range(5):
+                    await self.send("/read/x", identity=f"id-{number}")
+                self.assertEqual(len(one.ran), before)
+
+    async def test_an_address_used_by_another_runs_nothing(self) -> None:
+        await self.publish_all()
+        one, two = self.upstreams
+        taken = Target("old", "s", one.server.address, "amman", 4)
+        await self.catalog.publish(TargetGone("one"), taken)
+        await self.until(lambda: "old" in self.host.state.targets)
+        for number in range(6):
+            status, _, _ = await self.send("/write/x", "POST", f"id-{number}")
+            self.assertEqual(status, 200)
+        self.assertEqual(len(one.ran), 0)
+
+    async def test_cold_upstreams_get_no_more_than_this_hosts_part(
+        self,
+    ) -> None:
+        await self.publish_all()
+        one, two = self.upstreams
+        one.cold_ms = two.cold_ms = 3_000
+        sent = [
+            asyncio.create_task(self.send("/read/x", identity=f"id-{n}"))
+            for n in range(40)
+        ]
+        found = [status for status, _, _ in await asyncio.gather(*sent)]
+        self.assertLessEqual(len(one.ran), 9.0 * 1.5 + 5.0)
+        self.assertLessEqual(len(two.ran), 9.0 * 1.5 + 5.0)
+        self.assertEqual(found.count(503), 40 - found.count(200))
+
+    async def test_a_configuration_is_followed_and_never_undone(
+        self,
+    ) -> None:
+        await self.publish_all()
+        await self.catalog.publish(configuration(5, "other"))
+        await self.until(lambda: self.revision() == 5)
+        await self.catalog.publish(configuration(4, "s"))
+        self.catalog.forgets = True
+        await asyncio.sleep(2.5)
+        self.assertEqual(self.revision(), 5)
+        status, _, _ = await self.send("/read/x")
+        self.assertEqual(status, 503)
+        self.assertEqual(self.ran(), 0)
+
+    async def test_serving_goes_on_while_the_store_is_away(self) -> None:
+        await self.publish_all()
+        self.catalog.down = True
+        await asyncio.sleep(1.5)
+        status, _, _ = await self.send("/read/x")
+        self.assertEqual(status, 200)
+
+    def revision(self) -> int:
+        found = self.host.state.view.configuration
+        return found.revision if found else 0
+
+
+class StoppingTest(HostCase):
+    async def test_a_stop_cuts_no_request(self) -> None:
+        await self.publish_all()
+        for upstream in self.upstreams:
+            upstream.pieces = [b"PAUSE", GOOD]
+        self.host.state.me = self.host.state.me
+        statuses = []
+
+        async def ask(number: int) -> None:
+            status, _, headers = await self.send(
+                "/write/x", "POST", f"id-{number}"
+            )
+            statuses.append(status)
+            if self.host.state.stopping:
+                self.assertEqual(headers.get("connection"), "close")
+
+        first = asyncio.create_task(ask(0))
+        await self.until(lambda: self.ran() > 0)
+        self.host.request_stop()
+        for number in range(1, 40):
+            await asyncio.sleep(0.05)
+            await ask(number)
+        await first
+        self.assertEqual(set(statuses), {200})
+        self.assertFalse(self.host.state.ready)
+        async with asyncio.timeout(8.0):
+            await self.running
+        self.assertEqual(self.catalog.leases, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
