--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -11,6 +11,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 FOLDERS = ("wigeongw", "standins", "bench", "tools")
+# No package: its name is a module of the standard library's.
+ADAPTER = ROOT / "platform"
 PREFIX = "test: "
 
 
@@ -29,6 +31,7 @@
 def load(names: list[str]) -> unittest.TestSuite:
     """Load the named tests, or all of them."""
     loader = unittest.TestLoader()
+    sys.path.insert(0, str(ADAPTER))
     if names:
         return loader.loadTestsFromNames(names)
     suite = unittest.TestSuite()
@@ -40,6 +43,13 @@
                 top_level_dir=str(ROOT),
             )
         )
+    suite.addTests(
+        loader.discover(
+            str(ADAPTER / "clockworks"),
+            pattern="*_test.py",
+            top_level_dir=str(ADAPTER),
+        )
+    )
     return suite
 
 
--- a/wigeongw/gateway/host_case.py
+++ b/wigeongw/gateway/host_case.py
@@ -1,6 +1,7 @@
 """What tests of a whole host share: scripted upstreams and a client."""
 
 import asyncio
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 import os
 import random
@@ -138,13 +139,18 @@
             aiohttp.ClientSession()
         )
 
-    async def publish_all(self, **settings: float) -> None:
+    async def publish_all(
+        self, timeout_ms: float = 2_000.0, objective_ms: float = 800.0
+    ) -> None:
         """Publish a configuration and both upstreams, wait until known."""
         targets = [u.target() for u in self.upstreams]
-        await self.catalog.publish(configuration(**settings), *targets)
+        found = configuration(1, "s", timeout_ms, objective_ms)
+        await self.catalog.publish(found, *targets)
         await self.until(lambda: len(self.host.state.targets) == len(targets))
 
-    async def until(self, holds, within_s: float = WAIT_S) -> None:  # type: ignore[no-untyped-def]
+    async def until(
+        self, holds: Callable[[], bool], within_s: float = WAIT_S
+    ) -> None:
         """Wait until something holds."""
         async with asyncio.timeout(within_s):
             while not holds():  # noqa: ASYNC110
