--- a/wigeongw/decisions/site_view_test.py
+++ b/wigeongw/decisions/site_view_test.py
@@ -51,7 +51,7 @@
 
 class GraceTest(unittest.TestCase):
     def view(self) -> SiteView:
-        changes = [target("a"), host("h")]
+        changes: list[Change] = [target("a"), host("h")]
         return site_view.apply(SiteView(), changes, 0.0, LONG_AGO)
 
     def test_removal_counts_at_once_while_the_store_is_steady(self) -> None:
