Hosts tell each other what probes say and where they send; two relays watch the store

Under pressure no request goes to a slow upstream and none waits longer than it can still be on time.

--- a/wigeongw/adapters/memory_catalog.py
+++ b/wigeongw/adapters/memory_catalog.py
@@ -41,7 +41,7 @@
         async with self.changed:
             self.changed.notify_all()
 
-    async def read(self) -> Reading:
+    async def read(self, fresh: bool) -> Reading:
         """Read everything as it is now."""
         self._enter()
         changes: list[Change] = []
--- a/wigeongw/core/site.py
+++ b/wigeongw/core/site.py
@@ -127,11 +127,13 @@
 
     Attributes:
         address: ``ip:port`` where clients connect.
+        peer: ``ip:port`` for other hosts, over TCP and UDP; may be empty.
     """
 
     name: str
     address: str
     availability_zone: str
+    peer: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,6 +190,7 @@
         front: ``ip:port`` for requests of clients.
         readiness: ``ip:port`` for the platform's checks.
         directory: ``ip:port`` for clients that ask for addresses.
+        peer: ``ip:port`` for other hosts; empty for none.
         metrics_port: for counters and histograms; 0 for none.
     """
 
@@ -196,5 +199,6 @@
     front: str
     readiness: str
     directory: str
+    peer: str = ""
     metrics_port: int = 0
     bounds: Bounds = field(default_factory=Bounds)
--- a/wigeongw/decisions/patience.py
+++ b/wigeongw/decisions/patience.py
@@ -8,10 +8,17 @@
 
 import random
 
-# A request waits in the host's queue at most this part of its objective;
-# longer waits lead to late answers, which are worth little to the caller.
-QUEUE_SHARE = 0.5
+# A request waits in the host's queue while it can still be on time, given the
+# work and this part of the objective for the way to and from the client;
+# longer waits lead to late answers, which are worth little to the caller and
+# keep others waiting.
+WAY_SHARE = 0.1
+WORK_SPREAD = 1.1
+QUEUE_LEAST_SHARE = 0.15
 QUEUE_MOST = 64
+# With more requests than this waiting, a slow upstream is no place for one:
+# it would be late and hold a slot that several could use in turn.
+PRESSURE = 1
 # Up to this part of its objective a request waits for a fast upstream.
 PICKY_SHARE = 0.35
 # When the first answer is later than expected by this factor, and this part
@@ -29,14 +36,36 @@
     return expected_ms + MARGIN_MS < left_ms
 
 
-def queue_ends(arrived: float, objective_ms: float, deadline: float) -> float:
-    """Return until when a request may wait for a place."""
-    return min(arrived + QUEUE_SHARE * objective_ms, deadline - MARGIN_MS)
+def queue_ends(
+    arrived: float, objective_ms: float, work_ms: float, deadline: float
+) -> float:
+    """Return until when a request may wait for a place.
+
+    Args:
+        arrived: when it was read.
+        objective_ms: within it an answer is on time.
+        work_ms: what the request takes on a usual upstream.
+        deadline: when its client must have an answer.
+    """
+    room = objective_ms * (1.0 - WAY_SHARE) - work_ms * WORK_SPREAD
+    wait = max(QUEUE_LEAST_SHARE * objective_ms, room)
+    return min(arrived + wait, deadline - MARGIN_MS)
 
 
-def picky_ends(arrived: float, objective_ms: float) -> float:
-    """Return until when a slow upstream is no place for a request."""
-    return arrived + PICKY_SHARE * objective_ms
+def is_picky(
+    arrived: float, objective_ms: float, waiting: int, now: float
+) -> bool:
+    """Say whether a slow upstream is no place for a request now.
+
+    Args:
+        arrived: when it was read.
+        objective_ms: within it an answer is on time.
+        waiting: requests that wait for the same service, with this one.
+        now: monotonic clock.
+    """
+    if waiting > PRESSURE:
+        return True
+    return now < arrived + PICKY_SHARE * objective_ms
 
 
 def second_try_after(expected_ms: float, objective_ms: float) -> float:
--- a/wigeongw/decisions/placing.py
+++ b/wigeongw/decisions/placing.py
@@ -25,6 +25,8 @@
 KNEE_FACTOR = 1.7
 # A sample says how fast an upstream is for about this long.
 SAMPLE_LASTS_MS = 150.0
+# A sample this old is used again rather than asked for anew.
+FRESH_MS = 30.0
 # What is assumed of an upstream's slowness when nothing fresh is known.
 UNKNOWN_SLOWDOWN = 2.0
 COLD_SLOWDOWN = 2.0
@@ -37,6 +39,8 @@
 NEAR_ENOUGH = 0.7
 # An upstream slower than this is passed over while a request may wait.
 SLOW = 2.5
+# By how much chance may change the order in which upstreams are asked.
+BLUR = 0.6
 # How much a failure weighs, in objectives.
 RISK_WEIGHT = 2.0
 UNHEALTHY_RISK = 0.4
@@ -54,6 +58,7 @@
         risk: recent share of failures, 0 to 1.
         cold: it is in its cold start.
         doubtful: it is cold or may be.
+        askable: this host may probe it now.
         cold_open: whether this host may send it a request all the same.
     """
 
@@ -64,6 +69,7 @@
     risk: float
     cold: bool
     doubtful: bool
+    askable: bool
     cold_open: bool
 
 
@@ -73,6 +79,7 @@
 
     Attributes:
         expected_ms: from now.
+        fresh: it rests on a fresh sample.
         score_ms: the same with risk and distance weighed in.
     """
 
@@ -80,6 +87,7 @@
     expected_ms: float
     score_ms: float
     doubtful: bool
+    fresh: bool
 
 
 def estimate(
@@ -168,7 +176,11 @@
         expected = estimate(candidate, work_ms, busy, now)
         score = _score(candidate, expected, objective_ms, rng)
         placed = Placement(
-            candidate.target, expected, score, candidate.doubtful
+            candidate.target,
+            expected,
+            score,
+            candidate.doubtful,
+            is_fresh(candidate.sample, now),
         )
         if best is None or score < best.score_ms:
             best = placed
@@ -186,20 +198,30 @@
     return placed.score_ms <= NEAR_ENOUGH * objective_ms
 
 
+def is_fresh(sample: LoadSample | None, now: float) -> bool:
+    """Say whether a sample is good to decide by."""
+    return sample is not None and now - sample.at_ms <= FRESH_MS
+
+
 def probe_order(
-    candidates: Sequence[Candidate], rng: random.Random
+    candidates: Sequence[Candidate],
+    busy: float,
+    now: float,
+    rng: random.Random,
 ) -> list[Candidate]:
-    """Order upstreams by how much a probe of them may be worth.
+    """Order the upstreams that may be asked by what a probe may be worth.
 
-    Near ones come first, among them those that fail least and have least of
-    this host's requests.
+    Near ones come first, among them those that seem fast, free and sound.
+    All hosts see about the same, so the order is blurred by chance.
     """
 
     def rank(candidate: Candidate) -> tuple[bool, float]:
-        load = candidate.risk * candidate.target.slots + candidate.sent
-        return not candidate.near, load + rng.random()
+        seems = estimate(candidate, 1.0, busy, now)
+        seems *= 1.0 + candidate.risk * RISK_WEIGHT
+        return not candidate.near, seems * (1.0 + BLUR * rng.random())
 
-    return sorted(candidates, key=rank)
+    open_ones = [c for c in candidates if c.askable or is_fresh(c.sample, now)]
+    return sorted(open_ones, key=rank)
 
 
 def _score(
--- a/wigeongw/decisions/placing_test.py
+++ b/wigeongw/decisions/placing_test.py
@@ -25,6 +25,7 @@
     open_cold: bool = False,
     healthy: bool = True,
     sampled: bool = True,
+    askable: bool = True,
 ) -> Candidate:
     target = Target(name, "s", "127.0.0.1:1", "amman", 4)
     sample = LoadSample(NOW - age, running, waiting, 4, slowdown, 0.0, healthy)
@@ -36,6 +37,7 @@
         risk,
         cold,
         cold or doubtful,
+        askable,
         open_cold,
     )
 
--- a/wigeongw/decisions/shares.py
+++ b/wigeongw/decisions/shares.py
@@ -15,6 +15,10 @@
 
 # Hosts that may be added or be missing from this host's view.
 SPARE_HOSTS_RATIO = 0.2
+# The hosts beside an upstream place most of its requests, so most of the
+# probes are theirs.
+NEAR_PART = 0.7
+NEAR_BURST = 2.0
 # Of a cold upstream's bound the part that is dealt out: hosts draw their
 # moments at random, so some seconds see more than the mean.
 COLD_PART = 0.4
@@ -62,15 +66,30 @@
     return max(1, math.ceil(known * (1.0 + SPARE_HOSTS_RATIO)))
 
 
-def probe_bucket(bounds: Bounds, hosts: int, now: float) -> Bucket:
+def probe_bucket(
+    bounds: Bounds, near_hosts: int, far_hosts: int, near: bool, now: float
+) -> Bucket:
     """Build this host's bucket for probes of one upstream.
 
     In any second all hosts together stay within the bound: each spends at
     most its rate and one full bucket.
+
+    Args:
+        bounds: of the site.
+        near_hosts: hosts in the upstream's availability zone.
+        far_hosts: all others.
+        near: this host is one of the former.
+        now: monotonic clock.
     """
-    each = bounds.probes_per_s / hosts_most(hosts)
-    rate = max(each / 2.0, each - 1.0)
-    return Bucket(rate, 1.0, 1.0, now)
+    if not near_hosts or not far_hosts:
+        part, hosts = 1.0, near_hosts + far_hosts
+    elif near:
+        part, hosts = NEAR_PART, near_hosts
+    else:
+        part, hosts = 1.0 - NEAR_PART, far_hosts
+    each = bounds.probes_per_s * part / hosts_most(hosts)
+    burst = max(1.0, min(NEAR_BURST, each / 3.0))
+    return Bucket(max(each / 2.0, each - burst), burst, burst, now)
 
 
 def cold_bucket(
--- a/wigeongw/gateway/follower.py
+++ b/wigeongw/gateway/follower.py
@@ -4,6 +4,7 @@
 
 from wigeongw.adapters.upstream_pool import UpstreamPool
 from wigeongw.core.clock import seconds
+from wigeongw.decisions import relaying
 from wigeongw.decisions import site_view
 from wigeongw.decisions.site_view import SiteView
 from wigeongw.gateway.state import HostState
@@ -17,6 +18,12 @@
 PAUSE_MS = 1_000.0
 # How long a watch waits; a connection that went silent is noticed soon after.
 WAIT_MS = 1_500.0
+# The same for a host that watches for others: what it reads has one more way
+# to go, and they notice the sooner that it lost the store.
+RELAY_PAUSE_MS = 600.0
+RELAY_WAIT_MS = 600.0
+# The watch that follows a reading waits for nothing.
+CATCH_UP_MS = 1.0
 RETRY_FIRST_MS = 100.0
 RETRY_MOST_MS = 800.0
 SETTLE_EVERY_MS = 200.0
@@ -38,6 +45,7 @@
         self.away_ms = float("-inf")
         self.away = False
         self.known = False
+        self.fresh = False
 
     async def run(self) -> None:
         """Follow the store."""
@@ -47,7 +55,9 @@
                 await self._step()
                 pause_ms = RETRY_FIRST_MS
             except HistoryLostError:
+                # A stale reading might lie before what is forgotten.
                 self.known = False
+                self.fresh = True
                 self.state.log.add("store", event="history_lost")
             except (CatalogError, TimeoutError) as error:
                 self.note_away(repr(error))
@@ -71,18 +81,41 @@
             self.state.log.add("store", event="lost", cause=cause)
         self.state.metrics.count("store_failures_total")
 
+    async def _read(self) -> None:
+        """Read everything, perhaps a little stale, and catch up."""
+        async with asyncio.timeout(seconds(READ_MOST_MS)):
+            reading = await self.catalog.read(self.fresh)
+            since = await self.catalog.watch(reading.position, CATCH_UP_MS)
+        changes = (*reading.changes, *since.changes)
+        self._heard(Reading(changes, since.position), whole=True)
+        self.known = True
+        self.fresh = False
+
     async def _step(self) -> None:
         if not self.known:
-            async with asyncio.timeout(seconds(READ_MOST_MS)):
-                reading = await self.catalog.read()
-            self._heard(reading, whole=True)
-            self.known = True
+            await self._read()
             return
         position = self.state.view.position
-        async with asyncio.timeout(seconds(WAIT_MS + ANSWER_MOST_MS)):
-            reading = await self.catalog.watch(position, WAIT_MS)
+        wait_ms = self._wait_ms()
+        async with asyncio.timeout(seconds(wait_ms + ANSWER_MOST_MS)):
+            reading = await self.catalog.watch(position, wait_ms)
         self._heard(reading, whole=False)
-        await asyncio.sleep(seconds(PAUSE_MS))
+        if not reading.relayed:
+            await asyncio.sleep(seconds(self._pause_ms()))
+
+    def _pause_ms(self) -> float:
+        """Return how long to let changes gather at the store."""
+        me = self.state.me.name
+        if me in relaying.relays(self.state.view.hosts):
+            return RELAY_PAUSE_MS
+        return PAUSE_MS
+
+    def _wait_ms(self) -> float:
+        """Return how long a watch at the store waits."""
+        me = self.state.me.name
+        if me in relaying.relays(self.state.view.hosts):
+            return RELAY_WAIT_MS
+        return WAIT_MS
 
     def _heard(self, reading: Reading, whole: bool) -> None:
         now = self.state.clock.now()
--- a/wigeongw/gateway/forwarder.py
+++ b/wigeongw/gateway/forwarder.py
@@ -24,6 +24,7 @@
 from wigeongw.gateway.errors import RequestError
 from wigeongw.gateway.placer import Placer
 from wigeongw.gateway.placer import Wanted
+from wigeongw.gateway.sightings import SightingExchange
 from wigeongw.gateway.state import HostState
 from wigeongw.gateway.state import TargetState
 from wigeongw.ports.dialect import Dialect
@@ -103,8 +104,10 @@
         placer: Placer,
         pool: UpstreamPool,
         dialect: Dialect,
+        sightings: SightingExchange,
     ) -> None:
         self.state = state
+        self.sightings = sightings
         self.placer = placer
         self.pool = pool
         self.dialect = dialect
@@ -259,6 +262,7 @@
             return Attempt(placed, None, Outcome.NOT_RUN, False, "cold")
         began = now
         state.began.append(began)
+        self.sightings.note_sent(state)
         slowdown = state.sample.slowdown if state.sample else 1.0
         try:
             connection = await self.pool.take(placed.target)
@@ -289,7 +293,7 @@
         self, placed: Placement, state: TargetState, error: ExchangeError
     ) -> Attempt:
         now = self.state.clock.now()
-        state.risk.learn(True, now)
+        state.note_end(True, now)
         if not error.sent:
             state.note_unreachable(now)
         outcome = Outcome.UNKNOWN if error.sent else Outcome.NOT_RUN
@@ -318,13 +322,13 @@
         if misdirected:
             state.misdirected = True
         if misdirected or names.not_run in reply.fields:
-            state.risk.learn(True, now)
+            state.note_end(True, now)
             connection_open = reply.rest is None
             if not connection_open:
                 connection.close()
             return Attempt(placed, None, Outcome.NOT_RUN, True, "shed")
         failed = self._defect(request, reply)
-        state.risk.learn(bool(failed) or reply.status >= SERVER_ERROR, now)
+        state.note_end(bool(failed) or reply.status >= SERVER_ERROR, now)
         if failed:
             connection.close()
             return Attempt(placed, None, Outcome.UNKNOWN, True, failed)
--- a/wigeongw/gateway/front.py
+++ b/wigeongw/gateway/front.py
@@ -1,12 +1,9 @@
 """The HTTP side towards clients: an ASGI application."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 from collections.abc import Mapping
 import contextlib
 from dataclasses import dataclass
-from typing import Any
 
 from wigeongw.adapters.http_server import TARGET
 from wigeongw.adapters.upstream_connection import Reply
@@ -22,13 +19,13 @@
 from wigeongw.gateway.forwarder import Attempt
 from wigeongw.gateway.forwarder import Forwarder
 from wigeongw.gateway.forwarder import Request
+from wigeongw.gateway.own_answers import Receive
+from wigeongw.gateway.own_answers import Scope
+from wigeongw.gateway.own_answers import Send
 from wigeongw.gateway.state import HostState
 from wigeongw.ports.dialect import Dialect
 from wigeongw.ports.errors import BodyError
 
-Scope = dict[str, Any]
-Receive = Callable[[], Awaitable[Mapping[str, Any]]]
-Send = Callable[[dict[str, Any]], Awaitable[None]]
 Headers = list[tuple[bytes, bytes]]
 
 # For a request that names no deadline.
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -6,9 +6,10 @@
 from dataclasses import dataclass
 from dataclasses import replace
 import random
-import resource
 from typing import Any
 
+import aiohttp
+
 from wigeongw.adapters import http_server
 from wigeongw.adapters.upstream_pool import UpstreamPool
 from wigeongw.core.addresses import split_address
@@ -21,12 +22,15 @@
 from wigeongw.gateway.follower import Follower
 from wigeongw.gateway.forwarder import Forwarder
 from wigeongw.gateway.front import Front
-from wigeongw.gateway.front import Receive
-from wigeongw.gateway.front import Scope
-from wigeongw.gateway.front import Send
+from wigeongw.gateway.own_answers import MetricsApp
+from wigeongw.gateway.own_answers import Switch
 from wigeongw.gateway.placer import Placer
 from wigeongw.gateway.prober import Prober
 from wigeongw.gateway.registrar import Registrar
+from wigeongw.gateway.relay import RelayApp
+from wigeongw.gateway.relay import RelayedCatalog
+from wigeongw.gateway.relay import RelayLog
+from wigeongw.gateway.sightings import SightingExchange
 from wigeongw.gateway.state import HostState
 from wigeongw.ports.catalog import Catalog
 from wigeongw.ports.dialect import Dialect
@@ -36,7 +40,6 @@
 STAY_SHARE = 0.58
 # Kept free at the end of the grace time for closing.
 LAST_MS = 250.0
-KIB = 1024
 
 
 @dataclass(frozen=True)
@@ -46,11 +49,13 @@
     Attributes:
         own_apps: builds the applications for the readiness and directory
             addresses from the host's state.
+        session: for questions to other hosts.
     """
 
     catalog: Catalog
     dialect: Dialect
     own_apps: Any
+    session: aiohttp.ClientSession
 
 
 class GatewayHost:
@@ -69,13 +74,23 @@
         self.state = HostState(me, clock, rng, self.log, Metrics())
         self.dialect = surroundings.dialect
         self.pool = UpstreamPool(clock, self.dialect.names.request_id)
-        self.prober = Prober(self.state, self.pool, self.dialect)
-        self.follower = Follower(self.state, surroundings.catalog, self.pool)
-        self.registrar = Registrar(
-            self.state, surroundings.catalog, self.follower
+        self.sightings = SightingExchange(self.state)
+        self.prober = Prober(
+            self.state, self.pool, self.dialect, self.sightings
+        )
+        self.relay_log = RelayLog()
+        catalog = RelayedCatalog(
+            self.state,
+            surroundings.catalog,
+            surroundings.session,
+            self.relay_log,
         )
+        self.follower = Follower(self.state, catalog, self.pool)
+        self.registrar = Registrar(self.state, catalog, self.follower)
         placer = Placer(self.state, self.prober)
-        forwarder = Forwarder(self.state, placer, self.pool, self.dialect)
+        forwarder = Forwarder(
+            self.state, placer, self.pool, self.dialect, self.sightings
+        )
         self.front = Front(self.state, forwarder, self.dialect)
         self.own_apps = surroundings.own_apps
         self.stop = asyncio.Event()
@@ -104,6 +119,8 @@
             stack.callback(self.prober.close)
             for work in self._works():
                 self._start(stack, work)
+            if self.state.me.peer:
+                await self.sightings.open(self.state.me.peer, stack)
             server = self._listen(stack)
             self.log.add(
                 "host",
@@ -146,6 +163,10 @@
             split_address(me.front)[1]: self.front,
             **self.own_apps(self.state),
         }
+        if me.peer:
+            apps[split_address(me.peer)[1]] = RelayApp(
+                self.state, self.relay_log
+            )
         if me.metrics_port:
             apps[me.metrics_port] = MetricsApp(self.state)
         address = split_address(me.front)[0]
@@ -155,7 +176,7 @@
             stack.callback(sock.close)
             sockets.append(sock)
         protocol = http_server.bounded_by(self.front.limits)
-        server = http_server.build(_Switch(apps), protocol)
+        server = http_server.build(Switch(apps), protocol)
         task = asyncio.create_task(server.serve(sockets=sockets))
         stack.push_async_callback(_finish, server, task)
         return server
@@ -177,52 +198,6 @@
         )
 
 
-class _Switch:
-    """Hands a request to the application of the port it came in on."""
-
-    def __init__(self, apps: dict[int, Any]) -> None:
-        self.apps = apps
-
-    async def __call__(
-        self, scope: Scope, receive: Receive, send: Send
-    ) -> None:
-        await self.apps[scope["server"][1]](scope, receive, send)
-
-
-class MetricsApp:
-    """Shows counters and histograms as text."""
-
-    def __init__(self, state: HostState) -> None:
-        self.state = state
-
-    async def __call__(
-        self, scope: Scope, receive: Receive, send: Send
-    ) -> None:
-        """Answer with a line per series."""
-        if scope["type"] != "http":
-            return
-        peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * KIB
-        lines = [f"peak_memory_bytes {peak}", *self.state.metrics.lines()]
-        await answer(send, 200, "text/plain", "\n".join(lines) + "\n")
-
-
-async def answer(send: Send, status: int, media: str, text: str) -> None:
-    """Send a short answer of the host's own."""
-    body = text.encode()
-    headers = [
-        (b"content-type", media.encode()),
-        (b"content-length", str(len(body)).encode()),
-    ]
-    await send(
-        {
-            "type": "http.response.start",
-            "status": status,
-            "headers": headers,
-        }
-    )
-    await send({"type": "http.response.body", "body": body})
-
-
 async def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
--- a/wigeongw/gateway/host_case.py
+++ b/wigeongw/gateway/host_case.py
@@ -132,12 +132,12 @@
         self.upstreams = [Upstream("one"), Upstream("two")]
         for upstream in self.upstreams:
             await upstream.server.start(self.stack)
-        self.host = self._new_host()
-        self.running = asyncio.create_task(self.host.run())
-        self.stack.push_async_callback(self._stop)
         self.session = await self.stack.enter_async_context(
             aiohttp.ClientSession()
         )
+        self.host = self._new_host()
+        self.running = asyncio.create_task(self.host.run())
+        self.stack.push_async_callback(self._stop)
 
     async def publish_all(
         self, timeout_ms: float = 2_000.0, objective_ms: float = 800.0
@@ -186,7 +186,7 @@
             "h", "amman", f"127.0.0.1:{free_port()}", "127.0.0.1:1", ""
         )
         surroundings = Surroundings(
-            self.catalog, OwnDialect(), lambda state: {}
+            self.catalog, OwnDialect(), lambda state: {}, self.session
         )
         host = GatewayHost(me, surroundings, Clock(), random.Random(5))
         quiet = os.open(os.devnull, os.O_WRONLY)
--- /dev/null
+++ b/wigeongw/gateway/own_answers.py
@@ -0,0 +1,62 @@
+"""Short answers of the host's own."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+import resource
+from typing import Any
+
+from wigeongw.gateway.state import HostState
+
+Scope = dict[str, Any]
+Receive = Callable[[], Awaitable[Mapping[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+KIB = 1024
+
+
+class Switch:
+    """Hands a request to the application of the port it came in on."""
+
+    def __init__(self, apps: dict[int, Any]) -> None:
+        self.apps = apps
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Pass a request on."""
+        await self.apps[scope["server"][1]](scope, receive, send)
+
+
+class MetricsApp:
+    """Shows counters and histograms as text."""
+
+    def __init__(self, state: HostState) -> None:
+        self.state = state
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Answer with a line per series."""
+        if scope["type"] != "http":
+            return
+        peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * KIB
+        lines = [f"peak_memory_bytes {peak}", *self.state.metrics.lines()]
+        await answer(send, 200, "text/plain", "\n".join(lines) + "\n")
+
+
+async def answer(send: Send, status: int, media: str, text: str) -> None:
+    """Send a whole answer."""
+    body = text.encode()
+    headers = [
+        (b"content-type", media.encode()),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": headers,
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
--- a/wigeongw/gateway/placer.py
+++ b/wigeongw/gateway/placer.py
@@ -106,13 +106,16 @@
                 self.state.busy_at(wanted.service),
                 now,
                 self.state.rng,
-                now
-                < patience.picky_ends(
-                    wanted.arrived, wanted.route.objective_ms
+                patience.is_picky(
+                    wanted.arrived,
+                    wanted.route.objective_ms,
+                    self.waiting(wanted.service),
+                    now,
                 ),
             )
-            good = placed is not None and placing.is_good(placed, objective)
-            if good or not unasked:
+            if placed is not None and self._is_sure(placed, objective):
+                break
+            if not unasked:
                 break
         return placed
 
@@ -129,7 +132,10 @@
         if len(queue.turns) >= patience.QUEUE_MOST:
             raise self._refusal(wanted, "queue_full")
         ends = patience.queue_ends(
-            wanted.arrived, wanted.route.objective_ms, wanted.ends_at
+            wanted.arrived,
+            wanted.route.objective_ms,
+            self.state.work_of(wanted.route, wanted.service).mean_ms,
+            wanted.ends_at,
         )
         heapq.heappush(queue.turns, turn)
         try:
@@ -162,6 +168,11 @@
         )
         return RefusedError(reason, after)
 
+    @staticmethod
+    def _is_sure(placed: Placement, objective_ms: float) -> bool:
+        """Say whether further probes would hardly find a better place."""
+        return placed.fresh and placing.is_good(placed, objective_ms)
+
     def _states(self, wanted: Wanted) -> list[TargetState]:
         return [
             state
@@ -178,10 +189,11 @@
     def _order(self, states: list[TargetState]) -> list[TargetState]:
         now = self.state.clock.now()
         by_identity = {s.target.identity: s for s in states}
+        busy = self.state.busy_at(states[0].target.service)
         candidates = [
             self.state.candidate(s, now) for s in states if s.rest_until <= now
         ]
-        ordered = placing.probe_order(candidates, self.state.rng)
+        ordered = placing.probe_order(candidates, busy, now, self.state.rng)
         return [by_identity[c.target.identity] for c in ordered]
 
     def _objective_left(self, wanted: Wanted, now: float) -> float:
--- a/wigeongw/gateway/prober.py
+++ b/wigeongw/gateway/prober.py
@@ -6,12 +6,12 @@
 from wigeongw.adapters.upstream_connection import ExchangeError
 from wigeongw.adapters.upstream_pool import UpstreamPool
 from wigeongw.core.clock import seconds
+from wigeongw.decisions import placing
+from wigeongw.gateway.sightings import SightingExchange
 from wigeongw.gateway.state import HostState
 from wigeongw.gateway.state import TargetState
 from wigeongw.ports.dialect import Dialect
 
-# A sample this old is used again rather than asked for anew.
-FRESH_MS = 30.0
 # A probe waits for no slot; one that takes longer tells of trouble.
 PROBE_MS = 60.0
 HEALTHY = 200
@@ -21,18 +21,18 @@
     """Keeps samples fresh on demand; equal probes are asked once."""
 
     def __init__(
-        self, state: HostState, pool: UpstreamPool, dialect: Dialect
+        self,
+        state: HostState,
+        pool: UpstreamPool,
+        dialect: Dialect,
+        sightings: SightingExchange,
     ) -> None:
         self.state = state
+        self.sightings = sightings
         self.pool = pool
         self.dialect = dialect
         self.running: dict[str, asyncio.Task[None]] = {}
 
-    def is_fresh(self, target: TargetState, now: float) -> bool:
-        """Say whether an upstream's sample is good to decide by."""
-        sample = target.sample
-        return sample is not None and now - sample.at_ms <= FRESH_MS
-
     async def refresh(self, targets: Iterable[TargetState]) -> int:
         """Probe those whose sample is old and wait for the answers.
 
@@ -42,7 +42,8 @@
         now = self.state.clock.now()
         tasks = []
         for target in targets:
-            if self.is_fresh(target, now) or target.rest_until > now:
+            fresh = placing.is_fresh(target.sample, now)
+            if fresh or target.rest_until > now:
                 continue
             task = self.running.get(target.target.identity)
             if task is None:
@@ -105,3 +106,5 @@
         sample = self.dialect.load(reply.fields, now, healthy, True)
         if sample is not None:
             target.take(sample)
+            target.probed = sample
+            self.sightings.note(target)
--- a/wigeongw/gateway/registrar.py
+++ b/wigeongw/gateway/registrar.py
@@ -70,6 +70,6 @@
         if self.state.view.configuration is None:
             return
         me = self.state.me
-        host = Host(me.name, me.front, me.availability_zone)
+        host = Host(me.name, me.front, me.availability_zone, me.peer)
         self.lease = await self.catalog.register(host, LEASE_MS)
         self.state.log.add("store", event="registered", lease=self.lease)
--- /dev/null
+++ b/wigeongw/gateway/relay.py
@@ -0,0 +1,235 @@
+"""Passes on what one host read from the store, so that few hosts ask it.
+
+Two hosts watch the store; all others ask those two, each a different one
+first. A relay that does not answer in time, or has not heard the store for a
+while, is passed over and the store is asked instead, so a relay that is
+killed, frozen or cut off costs less than a second.
+"""
+
+import asyncio
+from collections import deque
+import json
+from typing import Any
+from urllib.parse import parse_qs
+
+import aiohttp
+
+from wigeongw.adapters import change_codec
+from wigeongw.adapters.change_codec import ChangeCodecError
+from wigeongw.core.clock import seconds
+from wigeongw.core.identity import rendezvous
+from wigeongw.core.site import Host
+from wigeongw.decisions import relaying
+from wigeongw.gateway.own_answers import answer
+from wigeongw.gateway.own_answers import Receive
+from wigeongw.gateway.own_answers import Scope
+from wigeongw.gateway.own_answers import Send
+from wigeongw.gateway.state import HostState
+from wigeongw.ports.catalog import Catalog
+from wigeongw.ports.catalog import CatalogError
+from wigeongw.ports.catalog import Reading
+
+CHANGES_PATH = "/changes"
+JSON = "application/json"
+# Changes that a relay keeps for hosts that ask a little later.
+KEPT_CHANGES = 2_000
+# How long a host's question waits at a relay for a change.
+RELAY_WAIT_MS = 500.0
+# After it the relay is taken for gone.
+RELAY_ANSWER_MS = 700.0
+# A relay that has not heard the store for this long does not count: longer
+# than its own pause and wait together.
+RELAY_AGE_MOST_MS = 1_500.0
+# For this long a relay that failed is not asked again.
+RELAY_REST_MS = 2_000.0
+
+
+class RelayLog:
+    """The changes that this host read lately, for others to ask for."""
+
+    def __init__(self) -> None:
+        self.changes: deque[tuple[int, dict[str, Any]]] = deque(
+            maxlen=KEPT_CHANGES
+        )
+        self.first = -1
+        self.last = -1
+        self.changed = asyncio.Event()
+
+    def restart(self, position: int) -> None:
+        """Begin anew after everything was read."""
+        self.changes.clear()
+        self.first = self.last = position
+        self._tell()
+
+    def add(self, reading: Reading) -> None:
+        """Take in what a watch returned."""
+        if len(self.changes) + len(reading.changes) >= KEPT_CHANGES:
+            self.changes.clear()
+            self.first = self.last
+        for change in reading.changes:
+            encoded = change_codec.encode(change)
+            self.changes.append((reading.position, encoded))
+        self.last = max(self.last, reading.position)
+        if reading.changes:
+            self._tell()
+
+    def since(self, position: int) -> list[dict[str, Any]] | None:
+        """Return the changes after a position; None when some are missing."""
+        if position < self.first or self.first < 0:
+            return None
+        return [change for at, change in self.changes if at > position]
+
+    async def wait(self, position: int, wait_ms: float) -> None:
+        """Wait until there is a change after a position."""
+        try:
+            async with asyncio.timeout(seconds(wait_ms)):
+                while self.since(position) == []:
+                    await self.changed.wait()
+        except TimeoutError:
+            return
+
+    def _tell(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class RelayApp:
+    """Answers other hosts' questions for changes."""
+
+    def __init__(self, state: HostState, log: RelayLog) -> None:
+        self.state = state
+        self.log = log
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Answer with changes after a position, waiting for one."""
+        if scope["type"] != "http":
+            return
+        query = parse_qs(scope["query_string"].decode("latin-1"))
+        try:
+            position = int(query["after"][0])
+        except (KeyError, ValueError):
+            await answer(send, 400, JSON, "{}")
+            return
+        await self.log.wait(position, RELAY_WAIT_MS)
+        changes = self.log.since(position)
+        if changes is None or self.state.stopping:
+            await answer(send, 410, JSON, "{}")
+            return
+        age = self.state.clock.now() - self.state.store_heard_ms
+        document = {
+            "age_ms": age,
+            "position": max(position, self.log.last),
+            "changes": changes,
+        }
+        text = change_codec.dumps(document).decode()
+        await answer(send, 200, JSON, text)
+
+
+class RelayedCatalog:
+    """The store, with watches passed on by relays where there are any."""
+
+    def __init__(
+        self,
+        state: HostState,
+        store: Catalog,
+        session: aiohttp.ClientSession,
+        log: RelayLog,
+    ) -> None:
+        self.state = state
+        self.store = store
+        self.session = session
+        self.log = log
+        self.resting: dict[str, float] = {}
+
+    async def read(self, fresh: bool) -> Reading:
+        """Read everything from the store."""
+        reading = await self.store.read(fresh)
+        self.state.store_heard_ms = self.state.clock.now()
+        self.log.restart(reading.position)
+        return reading
+
+    async def watch(self, position: int, wait_ms: float) -> Reading:
+        """Ask a relay, or the store when none answers well."""
+        for relay in self._relays():
+            reading = await self._ask(relay, position)
+            if reading is not None:
+                return reading
+        reading = await self.store.watch(position, wait_ms)
+        self.state.store_heard_ms = self.state.clock.now()
+        self.log.add(reading)
+        return reading
+
+    async def register(self, host: Host, lifetime_ms: float) -> int:
+        """Write a host's entry to the store."""
+        return await self.store.register(host, lifetime_ms)
+
+    async def renew(self, lease: int) -> None:
+        """Prolong a lease at the store."""
+        await self.store.renew(lease)
+
+    async def withdraw(self, lease: int) -> None:
+        """End a lease at the store."""
+        await self.store.withdraw(lease)
+
+    def _relays(self) -> list[Host]:
+        """Return whom to ask, best first; nobody when this is a relay."""
+        hosts = self.state.view.hosts
+        names = relaying.relays(hosts)
+        me = self.state.me.name
+        if me in names or me not in hosts:
+            return []
+        now = self.state.clock.now()
+        ordered = rendezvous(me, names, len(names))
+        return [
+            hosts[name]
+            for name in ordered
+            if self.resting.get(name, now) <= now and hosts[name].peer
+        ]
+
+    async def _ask(self, relay: Host, position: int) -> Reading | None:
+        url = f"http://{relay.peer}{CHANGES_PATH}"
+        try:
+            async with asyncio.timeout(seconds(RELAY_ANSWER_MS)):
+                async with self.session.get(
+                    url, params={"after": str(position)}
+                ) as response:
+                    raw = await response.read()
+                    status = response.status
+            if status != 200:
+                raise CatalogError(f"status {status}")
+            return _reading(raw)
+        except (
+            aiohttp.ClientError,
+            OSError,
+            TimeoutError,
+            CatalogError,
+        ) as error:
+            until = self.state.clock.now() + RELAY_REST_MS
+            self.resting[relay.name] = until
+            self.state.metrics.count("relay_failures_total")
+            self.state.log.add(
+                "relay", event="lost", relay=relay.name, cause=repr(error)
+            )
+            return None
+
+
+def _reading(raw: bytes) -> Reading:
+    """Decode a relay's answer.
+
+    Raises:
+        CatalogError: when it makes no sense or is too old to count.
+    """
+    try:
+        document = json.loads(raw)
+        age_ms = float(document["age_ms"])
+        changes = tuple(
+            change_codec.decode(table) for table in document["changes"]
+        )
+        position = int(document["position"])
+    except (ValueError, KeyError, TypeError, ChangeCodecError) as error:
+        raise CatalogError(repr(error)) from error
+    if age_ms > RELAY_AGE_MOST_MS:
+        raise CatalogError(f"not in touch with the store for {age_ms:.0f} ms")
+    return Reading(changes, position, relayed=True)
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -1,5 +1,6 @@
 """What the tasks of one host share: its view, its upstreams, its log."""
 
+from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
 import random
@@ -32,6 +33,10 @@
 REST_MOST_MS = 1_200.0
 # Samples up to this age tell how busy a service is as a whole.
 BUSY_LASTS_MS = 1_000.0
+# Requests of other hosts that are remembered an upstream.
+OTHERS_MOST = 32
+# A request of another host counts this long unless a sample came after it.
+OTHERS_LAST_MS = 150.0
 
 
 @dataclass(slots=True)
@@ -42,6 +47,10 @@
         began: when each request of this host in flight was sent.
         cold_until: when its cold start ends, as far as is known.
         warm_at: when a probe last said that it is warm.
+        others: when other hosts sent it requests.
+        probed: the latest sample that a probe of this host brought.
+        good: requests that ended well since others were told.
+        failed: requests that did not.
         rest_until: it could not be reached and is left alone until then.
         misdirected: its address belongs to another upstream now.
     """
@@ -54,6 +63,12 @@
     warm_at: float = float("-inf")
     risk: Risk = field(default_factory=Risk)
     began: list[float] = field(default_factory=list)
+    others: deque[float] = field(
+        default_factory=lambda: deque(maxlen=OTHERS_MOST)
+    )
+    probed: LoadSample | None = None
+    good: int = 0
+    failed: int = 0
     rest_ms: float = 0.0
     rest_until: float = 0.0
     misdirected: bool = False
@@ -70,6 +85,24 @@
         if left <= 0 and sample.at_ms > self.warm_at:
             self.warm_at = sample.at_ms
 
+    def note_end(self, failed: bool, now: float) -> None:
+        """Learn how a request of this host ended."""
+        self.risk.learn(failed, now)
+        if failed:
+            self.failed += 1
+        else:
+            self.good += 1
+
+    def note_others(self, at_ms: float) -> None:
+        """Note that another host sent it a request."""
+        self.others.append(at_ms)
+
+    def sent_since(self, seen_ms: float, now: float) -> int:
+        """Count requests, of any host, that a sample does not show yet."""
+        own = sum(1 for began in self.began if began >= seen_ms)
+        since = max(seen_ms, now - OTHERS_LAST_MS)
+        return own + sum(1 for at in self.others if at >= since)
+
     def note_unreachable(self, now: float) -> None:
         """Leave it alone for a while."""
         longer = min(REST_MOST_MS, 2.0 * self.rest_ms)
@@ -106,6 +139,7 @@
         self.work: dict[tuple[str, str], Work] = {}
         self.retries: dict[str, RetryShare] = {}
         self.stopping = False
+        self.store_heard_ms = float("-inf")
 
     @property
     def ready(self) -> bool:
@@ -180,7 +214,7 @@
         """Describe an upstream for placing."""
         sample = state.sample
         seen = sample.at_ms if sample is not None else 0.0
-        sent = sum(1 for began in state.began if began >= seen)
+        sent = state.sent_since(seen, now)
         cold = state.cold_until > now
         return Candidate(
             state.target,
@@ -190,6 +224,7 @@
             state.risk.now(now),
             cold,
             cold or now - state.warm_at > placing.WARM_LASTS_MS,
+            state.probes.refill(now) >= 1.0,
             state.cold.refill(now) >= 1.0,
         )
 
@@ -240,11 +275,18 @@
     def _new_target(self, target: Target) -> TargetState:
         now = self.clock.now()
         hosts = len(self.view.hosts)
+        near = sum(
+            1
+            for host in self.view.hosts.values()
+            if host.availability_zone == target.availability_zone
+        )
         service = self.service(target.service)
         assumed = service or Service(target.service, "/", 1, 0.0, 1.0)
         return TargetState(
             target,
-            shares.probe_bucket(self.bounds, hosts, now),
+            shares.probe_bucket(
+                self.bounds, near, hosts - near, self.is_near(target), now
+            ),
             shares.cold_bucket(self.bounds, assumed, hosts, now, self.rng),
             cold_until=now + target.cold_left_ms,
         )
--- a/wigeongw/ports/catalog.py
+++ b/wigeongw/ports/catalog.py
@@ -67,17 +67,24 @@
     Attributes:
         changes: in the order of their revisions.
         position: the store's revision; the next watch continues there.
+        relayed: another host passed it on, so the store was not asked.
     """
 
     changes: tuple[Change, ...]
     position: int
+    relayed: bool = False
 
 
 class Catalog(Protocol):
     """The store as hosts use it; every method raises CatalogError."""
 
-    async def read(self) -> Reading:
-        """Read everything as it is now."""
+    async def read(self, fresh: bool) -> Reading:
+        """Read everything.
+
+        Args:
+            fresh: as it is now; otherwise it may be some seconds old, which
+                costs the store less.
+        """
 
     async def watch(self, position: int, wait_ms: float) -> Reading:
         """Wait for changes after a position.
