--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -1,6 +1,7 @@
 """Puts an entry host together and runs it from start to graceful stop."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
@@ -40,6 +41,11 @@
 STAY_SHARE = 0.58
 # Kept free at the end of the grace time for closing.
 LAST_MS = 250.0
+# Before a task that failed runs again.
+TASK_PAUSE_MS = 200.0
+
+
+Work = Callable[[], Coroutine[Any, Any, None]]
 
 
 @dataclass(frozen=True)
@@ -133,29 +139,35 @@
 
     # Inside
 
-    def _works(self) -> list[Coroutine[Any, Any, None]]:
+    def _works(self) -> list[Work]:
         return [
-            self.log.run(),
-            self.follower.run(),
-            self.follower.run_settling(),
-            self.registrar.run(),
-            self.pool.run(),
+            self.log.run,
+            self.follower.run,
+            self.follower.run_settling,
+            self.registrar.run,
+            self.pool.run,
         ]
 
-    def _start(
-        self, stack: AsyncExitStack, work: Coroutine[Any, Any, None]
-    ) -> None:
-        """Run work until the stack closes; a task that fails stops us."""
-        task = asyncio.create_task(work)
-        task.add_done_callback(self._ended)
+    def _start(self, stack: AsyncExitStack, work: Work) -> None:
+        """Run work until the stack closes."""
+        task = asyncio.create_task(self._keep_running(work))
         stack.push_async_callback(_cancel, task)
 
-    def _ended(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled() or task.exception() is None:
-            return
-        error = task.exception()
-        self.log.add("host", event="task_failed", cause=repr(error))
-        self.stop.set()
+    async def _keep_running(self, work: Work) -> None:
+        """Run work again when it fails: requests are served without it."""
+        while True:
+            try:
+                await work()
+                return
+            except Exception as error:
+                self.state.metrics.count("task_failures_total")
+                self.log.add(
+                    "host",
+                    event="task_failed",
+                    task=work.__qualname__,
+                    cause=repr(error),
+                )
+            await asyncio.sleep(seconds(TASK_PAUSE_MS))
 
     def _listen(self, stack: AsyncExitStack) -> http_server.EmbeddedServer:
         me = self.state.me
