--- a/wigeongw/gateway/placer.py
+++ b/wigeongw/gateway/placer.py
@@ -166,6 +166,20 @@
         after = patience.retry_after(
             self.waiting(wanted.service), slots // hosts, work, self.state.rng
         )
+        now = self.state.clock.now()
+        self.state.log.add(
+            "refuse",
+            id=wanted.identity,
+            service=wanted.service,
+            reason=reason,
+            usable=len(usable),
+            resting=sum(1 for s in usable if s.rest_until > now),
+            busy=round(100.0 * self.state.busy_at(wanted.service)),
+            waiting=self.waiting(wanted.service),
+            work_ms=work,
+            left_ms=wanted.ends_at - now,
+            retry_after_ms=after,
+        )
         return RefusedError(reason, after)
 
     @staticmethod
