Calls that hang are given up soon, so the end of a cut is noticed at once

Ruled out: the lost history (read again within 10 ms). While the store is away watches wait for nothing and any call ends 0.6 s after its wait.

--- a/wigeongw/gateway/follower.py
+++ b/wigeongw/gateway/follower.py
@@ -25,12 +25,11 @@
 # The watch that follows a reading waits for nothing.
 CATCH_UP_MS = 1.0
 RETRY_FIRST_MS = 100.0
-RETRY_MOST_MS = 800.0
+RETRY_MOST_MS = 300.0
 SETTLE_EVERY_MS = 200.0
 # For reading everything, with pages.
 READ_MOST_MS = 3_000.0
-# For a watch beyond its wait.
-ANSWER_MOST_MS = 900.0
+AWAY_WAIT_MS = 1.0
 
 
 class Follower:
@@ -97,8 +96,7 @@
             return
         position = self.state.view.position
         wait_ms = self._wait_ms()
-        async with asyncio.timeout(seconds(wait_ms + ANSWER_MOST_MS)):
-            reading = await self.catalog.watch(position, wait_ms)
+        reading = await self.catalog.watch(position, wait_ms)
         self._heard(reading, whole=False)
         if not reading.relayed:
             await asyncio.sleep(seconds(self._pause_ms()))
@@ -111,7 +109,13 @@
         return PAUSE_MS
 
     def _wait_ms(self) -> float:
-        """Return how long a watch at the store waits."""
+        """Return how long a watch at the store waits.
+
+        While the store is away it waits for nothing, so that its return, or
+        the end of a cut, is noticed at once.
+        """
+        if self.away:
+            return AWAY_WAIT_MS
         me = self.state.me.name
         if me in relaying.relays(self.state.view.hosts):
             return RELAY_WAIT_MS
--- a/wigeongw/gateway/relay.py
+++ b/wigeongw/gateway/relay.py
@@ -40,6 +40,9 @@
 # A relay that has not heard the store for this long does not count: longer
 # than its own pause and wait together.
 RELAY_AGE_MOST_MS = 1_050.0
+# For an answer of the store beyond a watch's wait; a connection that hangs
+# is given up for a new one.
+STORE_ANSWER_MS = 600.0
 # Stands for a store that was never heard.
 NEVER_MS = 3_600_000.0
 # For this long a relay that failed is not asked again.
@@ -163,7 +166,11 @@
             reading = await self._ask(relay, position)
             if reading is not None:
                 return reading
-        reading = await self.store.watch(position, wait_ms)
+        try:
+            async with asyncio.timeout(seconds(wait_ms + STORE_ANSWER_MS)):
+                reading = await self.store.watch(position, wait_ms)
+        except TimeoutError as error:
+            raise CatalogError("no answer in time") from error
         self.state.store_heard_ms = self.state.clock.now()
         self.log.add(reading)
         return reading
--- a/wigeongw/gateway/relay_test.py
+++ b/wigeongw/gateway/relay_test.py
@@ -138,6 +138,22 @@
             self.doors[name].cut = True
         await self.assert_in_force(self.others)
 
+    async def test_a_call_that_hangs_is_given_up_soon_after_a_cut(
+        self,
+    ) -> None:
+        """All hosts are cut off while one more call has just begun."""
+        for door in self.doors.values():
+            door.cut = True
+        await asyncio.sleep(3.0)
+        watched = self.doors[self.relays[0]]
+        before = watched.watches
+        async with asyncio.timeout(5.0):
+            while watched.watches == before:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        for door in self.doors.values():
+            door.cut = False
+        await self.assert_in_force(list(NAMES))
+
     async def test_a_host_that_cannot_reach_the_store_learns_from_relays(
         self,
     ) -> None:
