--- a/wigeongw/adapters/upstream_pool.py
+++ b/wigeongw/adapters/upstream_pool.py
@@ -1,7 +1,6 @@
 """Kept connections to upstreams, the one used last first."""
 
 import asyncio
-from collections import Counter
 
 from wigeongw.adapters.upstream_connection import ExchangeError
 from wigeongw.adapters.upstream_connection import UpstreamConnection
@@ -21,7 +20,6 @@
         self.clock = clock
         self.id_header = id_header
         self.idle: dict[str, list[UpstreamConnection]] = {}
-        self.opened: Counter[str] = Counter()
 
     async def take(self, target: Target) -> UpstreamConnection:
         """Return an open connection, a kept one if there is one.
@@ -90,5 +88,4 @@
                 )
         except (OSError, TimeoutError) as error:
             raise ExchangeError(f"no connection: {error!r}", False) from error
-        self.opened[target.service] += 1
         return connection
--- a/wigeongw/gateway/forwarder.py
+++ b/wigeongw/gateway/forwarder.py
@@ -21,7 +21,6 @@
 from wigeongw.decisions.placing import Placement
 from wigeongw.gateway.errors import FailedError
 from wigeongw.gateway.errors import RefusedError
-from wigeongw.gateway.errors import RequestError
 from wigeongw.gateway.placer import Placer
 from wigeongw.gateway.placer import Wanted
 from wigeongw.gateway.sightings import SightingExchange
@@ -88,7 +87,6 @@
     sends: int = 0
     tried: set[str] = field(default_factory=set)
     unknown: bool = False
-    last: Attempt | None = None
     running: dict[asyncio.Task[Attempt], Placement] = field(
         default_factory=dict
     )
@@ -136,10 +134,9 @@
             if done is None:
                 left = request.ends_at - self.state.clock.now()
                 if left < TIMER_SLACK_MS:
-                    raise self._timed_out(trail)
+                    raise FailedError(504, "timeout")
                 await self._second(request, trail)
                 continue
-            trail.last = done
             if self._is_final(request, done):
                 return done
             if done.outcome is not Outcome.NOT_RUN:
@@ -233,10 +230,6 @@
             raise FailedError(502, failed.reason)
         raise RefusedError(failed.reason, RETRY_AFTER_FAILED_MS)
 
-    def _timed_out(self, trail: Trail) -> RequestError:
-        """Say what is certain of a request whose time is over."""
-        return FailedError(504, "timeout")
-
     # Sending
 
     def _start(
@@ -323,8 +316,7 @@
             state.misdirected = True
         if misdirected or names.not_run in reply.fields:
             state.note_end(True, now)
-            connection_open = reply.rest is None
-            if not connection_open:
+            if reply.rest is not None:
                 connection.close()
             return Attempt(placed, None, Outcome.NOT_RUN, True, "shed")
         failed = self._defect(request, reply)
