--- a/wigeongw/adapters/sighting_codec.py
+++ b/wigeongw/adapters/sighting_codec.py
@@ -14,9 +14,10 @@
 from wigeongw.core.site import LoadSample
 
 # The first byte tells this format from later ones.
-VERSION = 1
-HEAD = struct.Struct("!BBBB")
+VERSION = 2
+HEAD = struct.Struct("!BBBBB")
 SENT = struct.Struct("!IB")
+SILENT = struct.Struct("!IB")
 SEEN = struct.Struct("!IBBBHHHB")
 ENDED = struct.Struct("!IBB")
 SLOWDOWN_UNIT = 0.01
@@ -65,6 +66,18 @@
     age_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class Silent:
+    """An upstream that did not answer a probe.
+
+    Attributes:
+        age_ms: since the probe began.
+    """
+
+    key: int
+    age_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Sightings:
     """The content of a datagram."""
@@ -72,11 +85,12 @@
     seen: tuple[Seen, ...] = ()
     ended: tuple[Ended, ...] = ()
     sent: tuple[Sent, ...] = ()
+    silent: tuple[Silent, ...] = ()
 
     @property
     def empty(self) -> bool:
         """Whether there is nothing to tell."""
-        return not (self.seen or self.ended or self.sent)
+        return not (self.seen or self.ended or self.sent or self.silent)
 
 
 def key_of(identity: str) -> int:
@@ -89,8 +103,15 @@
     some_seen = sightings.seen[:MOST_EACH]
     some_ended = sightings.ended[:MOST_EACH]
     some_sent = sightings.sent[:MOST_EACH]
+    some_silent = sightings.silent[:MOST_EACH]
     parts = [
-        HEAD.pack(VERSION, len(some_seen), len(some_ended), len(some_sent))
+        HEAD.pack(
+            VERSION,
+            len(some_seen),
+            len(some_ended),
+            len(some_sent),
+            len(some_silent),
+        )
     ]
     parts.extend(_pack_seen(one) for one in some_seen)
     parts.extend(
@@ -103,6 +124,10 @@
         SENT.pack(one.key, min(BYTE_MOST, int(one.age_ms)))
         for one in some_sent
     )
+    parts.extend(
+        SILENT.pack(one.key, min(BYTE_MOST, int(one.age_ms)))
+        for one in some_silent
+    )
     return b"".join(parts)
 
 
@@ -117,7 +142,8 @@
         SightingError: when it is not whole or of another version.
     """
     try:
-        version, seen_count, ended_count, sent_count = HEAD.unpack_from(data)
+        version, *counts = HEAD.unpack_from(data)
+        seen_count, ended_count, sent_count, silent_count = counts
         if version != VERSION:
             raise SightingError(f"version {version}")
         at = HEAD.size
@@ -134,9 +160,16 @@
             key, age_ms = SENT.unpack_from(data, at)
             sent.append(Sent(key, float(age_ms)))
             at += SENT.size
+        silent = []
+        for _ in range(silent_count):
+            key, age_ms = SILENT.unpack_from(data, at)
+            silent.append(Silent(key, float(age_ms)))
+            at += SILENT.size
     except struct.error as error:
         raise SightingError(str(error)) from error
-    return Sightings(tuple(seen), tuple(ended), tuple(sent))
+    return Sightings(
+        tuple(seen), tuple(ended), tuple(sent), tuple(silent)
+    )
 
 
 def _pack_seen(one: Seen) -> bytes:
--- a/wigeongw/decisions/patience.py
+++ b/wigeongw/decisions/patience.py
@@ -13,7 +13,7 @@
 # longer waits lead to late answers, which are worth little to the caller and
 # keep others waiting.
 WAY_SHARE = 0.1
-WORK_SPREAD = 1.1
+WORK_SPREAD = 1.35
 QUEUE_LEAST_SHARE = 0.15
 QUEUE_MOST = 64
 # With more requests than this waiting, a slow upstream is no place for one:
@@ -26,6 +26,8 @@
 LATE_FACTOR = 1.6
 LATE_SHARE = 0.45
 RETRY_AFTER_LEAST_MS = 50.0
+# For a caller whose request an upstream turned away though others have room.
+RETRY_SOON_MS = 15.0
 RETRY_AFTER_MOST_MS = 1_000.0
 # Time that is kept for the way back to the client.
 MARGIN_MS = 5.0
@@ -52,6 +54,17 @@
     return min(arrived + wait, deadline - MARGIN_MS)
 
 
+def overdue_queue_ends(
+    arrived: float, objective_ms: float, work_ms: float, deadline: float
+) -> float:
+    """Return until when a request may wait that cannot be on time.
+
+    The arguments are those of ``queue_ends``.
+    """
+    latest = deadline - MARGIN_MS - work_ms * WORK_SPREAD
+    return min(arrived + objective_ms, latest)
+
+
 def is_picky(
     arrived: float, objective_ms: float, waiting: int, now: float
 ) -> bool:
--- a/wigeongw/decisions/placing.py
+++ b/wigeongw/decisions/placing.py
@@ -60,6 +60,7 @@
         doubtful: it is cold or may be.
         askable: this host may probe it now.
         cold_open: whether this host may send it a request all the same.
+        silent: it failed to answer and has not answered since.
     """
 
     target: Target
@@ -71,6 +72,7 @@
     doubtful: bool
     askable: bool
     cold_open: bool
+    silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,11 +137,16 @@
     return candidate.sent + seen * (1 - age) + usual * age
 
 
-def is_full(candidate: Candidate, busy: float, now: float) -> bool:
-    """Say whether one more request would slow an upstream down."""
+def is_full(
+    candidate: Candidate,
+    busy: float,
+    now: float,
+    slot_share: float = KNEE_SHARE,
+) -> bool:
+    """Say whether one more request would fill more than a share of slots."""
     slots = slots_of(candidate)
     ahead = requests_ahead(candidate, busy, now)
-    return ahead + 1 > max(1.0, KNEE_SHARE * slots)
+    return ahead + 1 > max(1.0, slot_share * slots)
 
 
 def choose(
@@ -150,6 +157,7 @@
     now: float,
     rng: random.Random,
     picky: bool = False,
+    slot_share: float = KNEE_SHARE,
 ) -> Placement | None:
     """Choose where a request should go.
 
@@ -161,15 +169,16 @@
         now: monotonic clock.
         rng: breaks ties.
         picky: pass over what is slow now.
+        slot_share: part of an upstream's slots that may be in use.
 
     Returns:
         None when every upstream is full, too cold or too slow.
     """
     best: Placement | None = None
     near_best: Placement | None = None
-    for candidate in candidates:
+    for candidate in not_silent(candidates):
         closed = candidate.doubtful and not candidate.cold_open
-        if closed or is_full(candidate, busy, now):
+        if closed or is_full(candidate, busy, now, slot_share):
             continue
         if picky and slowdown_of(candidate, now) > SLOW:
             continue
@@ -193,6 +202,16 @@
     return best
 
 
+def not_silent(candidates: Iterable[Candidate]) -> list[Candidate]:
+    """Leave out silent upstreams while there are others.
+
+    To the load that was last seen of a dead upstream no request is ever
+    added, so it would look free when all others are full.
+    """
+    found = list(candidates)
+    return [c for c in found if not c.silent] or found
+
+
 def is_good(placed: Placement, objective_ms: float) -> bool:
     """Say whether a placement keeps the objective with room to spare."""
     return placed.score_ms <= NEAR_ENOUGH * objective_ms
--- a/wigeongw/decisions/shares.py
+++ b/wigeongw/decisions/shares.py
@@ -26,6 +26,12 @@
 # clients, not by hosts, and restarted hosts begin with a full bucket.
 RETRY_PART = 0.75
 RETRY_BURST_MOST = 4.0
+# What requests earn can be saved up this long, since many fail at once when
+# an upstream dies; the bound looks at windows several times as long.
+EARNED_LASTS_MS = 3_000.0
+# Further sends that late requests leave for failed ones: a late request may
+# still be answered, a failed one is lost without a further send.
+KEPT_FOR_FAILED = 1.0
 
 
 @dataclass(slots=True)
@@ -56,11 +62,6 @@
         self.tokens -= 1.0
         return True
 
-    def add(self, tokens: float) -> None:
-        """Earn tokens."""
-        self.tokens = min(self.most, self.tokens + tokens)
-
-
 def hosts_most(known: int) -> int:
     """Return how many hosts may be live when this many are known."""
     return max(1, math.ceil(known * (1.0 + SPARE_HOSTS_RATIO)))
@@ -119,16 +120,38 @@
         rate = max(0.0, each - most) / window_s
         self.ratio = bounds.retry_ratio * RETRY_PART
         self.bucket = Bucket(rate, most, most / 2.0, now)
+        self.earned = 0.0
+        self.earned_at = now
 
     def earn(self, now: float) -> None:
         """Count a request of a client."""
-        self.bucket.refill(now)
-        self.bucket.add(self.ratio)
+        self._fade(now)
+        self.earned += self.ratio
 
-    def spend(self, now: float) -> bool:
-        """Pay for a further send; False when there is none left."""
-        return self.bucket.take(now)
+    def spend(self, now: float, keep: float = 0.0) -> bool:
+        """Pay for a further send.
+
+        Args:
+            now: monotonic clock.
+            keep: what must be left afterwards.
+
+        Returns:
+            False when there is not enough left.
+        """
+        if self.left(now) < 1.0 + keep:
+            return False
+        self.earned -= 1.0
+        if self.earned < 0.0:
+            self.bucket.tokens += self.earned
+            self.earned = 0.0
+        return True
 
     def left(self, now: float) -> float:
         """Return how many further sends are paid for."""
-        return self.bucket.refill(now)
+        self._fade(now)
+        return self.earned + self.bucket.refill(now)
+
+    def _fade(self, now: float) -> None:
+        gone = max(0.0, now - self.earned_at) / EARNED_LASTS_MS
+        self.earned *= math.exp(-gone)
+        self.earned_at = now
--- a/wigeongw/decisions/shares_test.py
+++ b/wigeongw/decisions/shares_test.py
@@ -86,7 +86,36 @@
                 bound = BOUNDS.retry_ratio * requests + BOUNDS.retry_slack
                 self.assertLessEqual(most_in_window(sent, window), bound)
 
-    def play(self, hosts: int, per_s: float) -> list[float]:
+    def test_saved_up_further_sends_keep_the_bound(self) -> None:
+        """Nothing fails for a while, then everything does."""
+        for hosts, per_s in ((17, 140.0), (12, 50.0), (17, 600.0)):
+            for calm_ms in (4_000.0, 10_000.0, 20_000.0):
+                with self.subTest(hosts=hosts, per_s=per_s, calm=calm_ms):
+                    sent = self.play(hosts, per_s, calm_ms)
+                    window = BOUNDS.retry_window_ms
+                    requests = per_s * window / 1_000.0
+                    bound = BOUNDS.retry_ratio * requests + BOUNDS.retry_slack
+                    self.assertLessEqual(most_in_window(sent, window), bound)
+
+    def test_after_a_calm_several_can_be_sent_again_at_once(self) -> None:
+        """What an upstream had in its slots fails when it dies."""
+        share = RetryShare(BOUNDS, 12, 0.0)
+        for number in range(60):
+            share.earn(number * 100.0)
+        sent = sum(share.spend(6_000.0) for _ in range(4))
+        self.assertGreaterEqual(sent, 4)
+
+    def test_late_requests_leave_something_for_failed_ones(self) -> None:
+        share = RetryShare(BOUNDS, 12, 0.0)
+        for number in range(30):
+            share.earn(number * 100.0)
+        while share.spend(3_000.0, shares.KEPT_FOR_FAILED):
+            pass
+        self.assertTrue(share.spend(3_000.0))
+
+    def play(
+        self, hosts: int, per_s: float, calm_ms: float = 0.0
+    ) -> list[float]:
         parts = [RetryShare(BOUNDS, hosts, 0.0) for _ in range(hosts)]
         sent: list[float] = []
         due = 0.0
@@ -98,7 +127,8 @@
                 due -= 1.0
                 turn += 1
                 parts[turn % hosts].earn(at)
-            sent.extend(at for part in parts if part.spend(at))
+            if at >= calm_ms:
+                sent.extend(at for part in parts if part.spend(at))
             at += STEP_MS
         return sent
 
--- a/wigeongw/gateway/forwarder.py
+++ b/wigeongw/gateway/forwarder.py
@@ -18,6 +18,7 @@
 from wigeongw.core.records import Outcome
 from wigeongw.core.site import Route
 from wigeongw.decisions import patience
+from wigeongw.decisions import shares
 from wigeongw.decisions.placing import Placement
 from wigeongw.gateway.errors import FailedError
 from wigeongw.gateway.errors import RefusedError
@@ -34,7 +35,6 @@
 MULTIPLE_CHOICES = 300
 # An upstream stops a little before the client is answered here.
 UPSTREAM_MARGIN_MS = 2.0
-RETRY_AFTER_FAILED_MS = 100.0
 # Timers may fire this much early.
 TIMER_SLACK_MS = 2.0
 
@@ -49,6 +49,7 @@
         headers: end-to-end headers, names in lower case.
         arrived: when its head was read.
         ends_at: when the client must have an answer.
+        overdue: it cannot be on time any more.
     """
 
     identity: str
@@ -60,6 +61,7 @@
     service: str
     arrived: float
     ends_at: float
+    overdue: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,7 +146,7 @@
             if trail.running:
                 continue
             if not await self._again(request, trail, done):
-                return self._give_up(trail, done)
+                return self._give_up(request, trail, done)
 
     async def _next(self, request: Request, trail: Trail) -> Attempt | None:
         """Wait for an attempt to end, or for the next moment to act."""
@@ -179,7 +181,7 @@
         trail.hedged = True
         share = self.state.retry_share(request.service)
         now = self.state.clock.now()
-        if share.left(now) < 1.0:
+        if share.left(now) < 1.0 + shares.KEPT_FOR_FAILED:
             self._note(request, "second", "over_budget")
             return
         placed = await self.placer.look(self._wanted(request, trail))
@@ -190,7 +192,7 @@
             return
         if not trail.running or any(t.done() for t in trail.running):
             return
-        if share.spend(self.state.clock.now()):
+        if share.spend(self.state.clock.now(), shares.KEPT_FOR_FAILED):
             self.state.metrics.count("second_tries_total", "late")
             self._start(request, trail, placed, "late")
 
@@ -222,13 +224,17 @@
         failed = attempt.reply.status >= SERVER_ERROR
         return not (failed and request.route.idempotent)
 
-    def _give_up(self, trail: Trail, failed: Attempt) -> Attempt:
+    def _give_up(
+        self, request: Request, trail: Trail, failed: Attempt
+    ) -> Attempt:
         """Pass on an upstream's own failure, or say what is certain."""
         if failed.reply is not None:
             return failed
         if trail.unknown or failed.outcome is not Outcome.NOT_RUN:
             raise FailedError(502, failed.reason)
-        raise RefusedError(failed.reason, RETRY_AFTER_FAILED_MS)
+        work = self.state.work_of(request.route, request.service)
+        after = self.placer.retry_after(request.service, work.mean_ms)
+        raise RefusedError(failed.reason, after)
 
     # Sending
 
@@ -305,6 +311,7 @@
         names = self.dialect.names
         if reply.rest is None:
             self.pool.give_back(placed.target, connection)
+        state.note_reached()
         sample = self.dialect.load(reply.fields, now, True, False)
         if sample is not None:
             state.take(sample)
@@ -367,6 +374,7 @@
             request.service,
             request.arrived,
             request.ends_at,
+            request.overdue,
             frozenset(trail.tried),
         )
 
--- a/wigeongw/gateway/front.py
+++ b/wigeongw/gateway/front.py
@@ -13,6 +13,7 @@
 from wigeongw.core.site import ClientLimits
 from wigeongw.core.site import Route
 from wigeongw.daemon.headers import HOP_BY_HOP
+from wigeongw.decisions import queueing
 from wigeongw.decisions.routing import find_route
 from wigeongw.gateway.errors import AnswerCutError
 from wigeongw.gateway.errors import RequestError
@@ -48,12 +49,13 @@
     """What a request's head says.
 
     Attributes:
+        deadline_ms: what the caller gives it; None when it does not say.
         length: of the body; None when it comes in chunks.
     """
 
     host: str
     identity: str
-    deadline_ms: float
+    deadline_ms: float | None
     length: int | None
     headers: tuple[tuple[bytes, bytes], ...]
 
@@ -141,6 +143,7 @@
         self.identity = "-"
         self.route: Route | None = None
         self.service = ""
+        self.patience_ms: float | None = None
         self.started = False
 
     async def run(self) -> None:
@@ -165,7 +168,8 @@
         path = self.scope["raw_path"].decode("latin-1")
         self.route = self.front.find(fields, path)
         self.front.check_time_to_stop(self.route, self.arrived)
-        wait_ms = min(fields.deadline_ms, self.route.timeout_ms)
+        self.patience_ms = fields.deadline_ms
+        wait_ms = min(fields.deadline_ms or DEADLINE_MS, self.route.timeout_ms)
         ends_at = self.arrived + wait_ms
         body = await self._body(fields, ends_at)
         self.service = self.state.split(self.route).next()
@@ -179,9 +183,22 @@
             self.service,
             self.arrived,
             ends_at,
+            self._is_overdue(self.route, fields.deadline_ms),
         )
         return await self._while_client_stays(request)
 
+    def _is_overdue(self, route: Route, told_ms: float | None) -> bool:
+        """Say whether the caller came back too late to be on time."""
+        if told_ms is None:
+            return False
+        usual = self.state.patience_of(route)
+        waited_ms = usual.waited_before(told_ms)
+        usual.learn(told_ms)
+        work = self.state.work_of(route, self.service)
+        return queueing.is_overdue(
+            waited_ms, route.objective_ms, work.mean_ms
+        )
+
     async def _while_client_stays(self, request: Request) -> Attempt:
         work = asyncio.create_task(self.front.forwarder.forward(request))
         gone = asyncio.create_task(self._client_gone())
@@ -384,6 +401,7 @@
             status=status,
             outcome=outcome.value,
             reason=reason,
+            patience_ms=self.patience_ms,
             took_ms=took,
         )
 
@@ -414,13 +432,11 @@
     return int(text)
 
 
-def _deadline(values: list[str]) -> float:
+def _deadline(values: list[str]) -> float | None:
     if not values:
-        return DEADLINE_MS
+        return None
     try:
         found = float(values[0])
     except ValueError:
-        return DEADLINE_MS
-    if not 0 < found < DEADLINE_MOST_MS:
-        return DEADLINE_MS
-    return found
+        return None
+    return found if 0 < found < DEADLINE_MOST_MS else None
--- a/wigeongw/gateway/host_case.py
+++ b/wigeongw/gateway/host_case.py
@@ -78,6 +78,7 @@
     Attributes:
         pieces: what it answers to requests; b"HANG" waits, b"CLOSE" closes.
         load: running, waiting, slots and slowdown that it reports.
+        silent: it takes connections but answers nothing.
     """
 
     def __init__(self, identity: str) -> None:
@@ -85,6 +86,7 @@
         self.pieces: list[bytes] = [text(200, b"done", SIGNED)]
         self.load = "0,0,4,1"
         self.cold_ms = 0
+        self.silent = False
         self.server = ScriptedUpstream(self._answer)
 
     def target(self, zone: str = "amman", service: str = "s") -> Target:
@@ -99,6 +101,8 @@
     async def _answer(
         self, heard: Heard, writer: asyncio.StreamWriter
     ) -> None:
+        if self.silent:
+            await asyncio.sleep(WAIT_S)
         if heard.target == "/health":
             writer.write(
                 text(
--- a/wigeongw/gateway/placer.py
+++ b/wigeongw/gateway/placer.py
@@ -9,7 +9,9 @@
 from wigeongw.core.site import Route
 from wigeongw.decisions import patience
 from wigeongw.decisions import placing
+from wigeongw.decisions import queueing
 from wigeongw.decisions.placing import Placement
+from wigeongw.decisions.queueing import Turn
 from wigeongw.gateway.errors import RefusedError
 from wigeongw.gateway.prober import Prober
 from wigeongw.gateway.state import HostState
@@ -23,15 +25,6 @@
 LOOK_EVERY_MS = 15.0
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Turn:
-    """Where a request stands in a queue: urgent first, then by deadline."""
-
-    priority: int
-    ends_at: float
-    number: int
-
-
 @dataclass(slots=True)
 class Queue:
     """Requests that wait for a place at one service."""
@@ -50,6 +43,7 @@
     Attributes:
         arrived: when the client's request was read.
         ends_at: when its time is over.
+        overdue: it cannot be on time any more.
         tried: identities of upstreams that it was sent to.
     """
 
@@ -58,6 +52,7 @@
     service: str
     arrived: float
     ends_at: float
+    overdue: bool = False
     tried: frozenset[str] = frozenset()
 
 
@@ -78,7 +73,12 @@
         """
         queue = self.queues.setdefault(wanted.service, Queue())
         self.last_number += 1
-        turn = Turn(wanted.route.priority, wanted.ends_at, self.last_number)
+        turn = Turn(
+            wanted.route.priority,
+            wanted.overdue,
+            wanted.ends_at,
+            self.last_number,
+        )
         if queue.is_first(turn):
             placed = await self.look(wanted)
             if placed is not None:
@@ -112,6 +112,7 @@
                     self.waiting(wanted.service),
                     now,
                 ),
+                self._slot_share(wanted),
             )
             if placed is not None and self._is_sure(placed, objective):
                 break
@@ -119,6 +120,19 @@
                 break
         return placed
 
+    def retry_after(self, service: str, work_ms: float) -> float:
+        """Return when a caller should come back, in milliseconds."""
+        usable = self.state.usable(service)
+        if self.state.busy_at(service) < placing.KNEE_SHARE and (
+            not self.waiting(service)
+        ):
+            return patience.RETRY_SOON_MS
+        slots = sum(max(1, s.target.slots) for s in usable)
+        hosts = max(1, len(self.state.view.hosts))
+        return patience.retry_after(
+            self.waiting(service), slots // hosts, work_ms, self.state.rng
+        )
+
     def waiting(self, service: str) -> int:
         """Return how many requests wait for a service."""
         queue = self.queues.get(service)
@@ -131,7 +145,12 @@
     ) -> Placement:
         if len(queue.turns) >= patience.QUEUE_MOST:
             raise self._refusal(wanted, "queue_full")
-        ends = patience.queue_ends(
+        queue_ends = (
+            patience.overdue_queue_ends
+            if wanted.overdue
+            else patience.queue_ends
+        )
+        ends = queue_ends(
             wanted.arrived,
             wanted.route.objective_ms,
             self.state.work_of(wanted.route, wanted.service).mean_ms,
@@ -160,12 +179,8 @@
 
     def _refusal(self, wanted: Wanted, reason: str) -> RefusedError:
         usable = self.state.usable(wanted.service)
-        slots = sum(max(1, s.target.slots) for s in usable)
-        hosts = max(1, len(self.state.view.hosts))
         work = self.state.work_of(wanted.route, wanted.service).mean_ms
-        after = patience.retry_after(
-            self.waiting(wanted.service), slots // hosts, work, self.state.rng
-        )
+        after = self.retry_after(wanted.service, work)
         now = self.state.clock.now()
         self.state.log.add(
             "refuse",
@@ -178,10 +193,17 @@
             waiting=self.waiting(wanted.service),
             work_ms=work,
             left_ms=wanted.ends_at - now,
+            overdue=int(wanted.overdue),
             retry_after_ms=after,
         )
         return RefusedError(reason, after)
 
+    @staticmethod
+    def _slot_share(wanted: Wanted) -> float:
+        if wanted.overdue:
+            return queueing.OVERDUE_SLOT_SHARE
+        return placing.KNEE_SHARE
+
     @staticmethod
     def _is_sure(placed: Placement, objective_ms: float) -> bool:
         """Say whether further probes would hardly find a better place."""
@@ -212,6 +234,8 @@
 
     def _objective_left(self, wanted: Wanted, now: float) -> float:
         """Return what is left of the objective, or of all the time."""
+        if wanted.overdue:
+            return max(1.0, wanted.ends_at - now)
         left = wanted.arrived + wanted.route.objective_ms - now
         if left > 0.2 * wanted.route.objective_ms:
             return left
--- a/wigeongw/gateway/prober.py
+++ b/wigeongw/gateway/prober.py
@@ -36,12 +36,16 @@
     async def refresh(self, targets: Iterable[TargetState]) -> int:
         """Probe those whose sample is old and wait for the answers.
 
+        Nobody waits for an upstream that went silent while there are others.
+
         Returns:
-            How many were asked.
+            For how many answers it waited.
         """
         now = self.state.clock.now()
+        asked = list(targets)
+        all_silent = all(target.silent for target in asked)
         tasks = []
-        for target in targets:
+        for target in asked:
             fresh = placing.is_fresh(target.sample, now)
             if fresh or target.rest_until > now:
                 continue
@@ -52,7 +56,8 @@
                     continue
                 task = asyncio.create_task(self._probe(target))
                 self.running[target.target.identity] = task
-            tasks.append(task)
+            if all_silent or not target.silent:
+                tasks.append(task)
         if tasks:
             await asyncio.wait(tasks)
         return len(tasks)
@@ -64,11 +69,13 @@
 
     async def _probe(self, target: TargetState) -> None:
         identity = target.target.identity
+        began = self.state.clock.now()
         try:
             async with asyncio.timeout(seconds(PROBE_MS)):
                 await self._ask(target)
         except (ExchangeError, TimeoutError) as error:
             target.note_unreachable(self.state.clock.now())
+            self.sightings.note_silent(target, began)
             self.state.metrics.count("probes_failed_total")
             self.state.log.add(
                 "probe",
--- a/wigeongw/gateway/sightings.py
+++ b/wigeongw/gateway/sightings.py
@@ -21,6 +21,7 @@
 from wigeongw.adapters.sighting_codec import Sent
 from wigeongw.adapters.sighting_codec import SightingError
 from wigeongw.adapters.sighting_codec import Sightings
+from wigeongw.adapters.sighting_codec import Silent
 from wigeongw.core.addresses import split_address
 from wigeongw.core.clock import seconds
 from wigeongw.gateway.state import HostState
@@ -53,6 +54,7 @@
         self.fresh: dict[str, TargetState] = {}
         self.for_far: dict[str, TargetState] = {}
         self.sent: list[tuple[int, float]] = []
+        self.silent: dict[int, float] = {}
         self.flush_at: asyncio.TimerHandle | None = None
         self.turn = 0
 
@@ -89,6 +91,12 @@
         self.sent.append((key, self.state.clock.now()))
         self._flush_within(GATHER_SENT_MS)
 
+    def note_silent(self, target: TargetState, probed_at: float) -> None:
+        """Tell others soon that an upstream did not answer a probe."""
+        key = sighting_codec.key_of(target.target.identity)
+        self.silent[key] = probed_at
+        self._flush_within(GATHER_MS)
+
     # The socket's side
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -137,6 +145,10 @@
             target = self.by_key.get(sent.key)
             if target is not None:
                 target.note_others(now - sent.age_ms)
+        for silent in heard.silent:
+            target = self.by_key.get(silent.key)
+            if target is not None:
+                target.heard_silent = now - silent.age_ms
         for ended in heard.ended:
             target = self.by_key.get(ended.key)
             if target is None:
@@ -152,10 +164,12 @@
         now = self.state.clock.now()
         sent = tuple(Sent(key, now - at) for key, at in self.sent)
         self.sent = []
+        silent = tuple(Silent(k, now - at) for k, at in self.silent.items())
+        self.silent = {}
         self.for_far.update(self.fresh)
         seen = self._seen(self.fresh, now)
         self.fresh = {}
-        self._send(Sightings(seen, self._ended(), sent), self.near)
+        self._send(Sightings(seen, self._ended(), sent, silent), self.near)
         seen = ()
         self.turn += 1
         if self.turn % FAR_EVERY == 0:
@@ -163,7 +177,7 @@
             self.for_far = {}
         if len(self.far) > FAR_MOST:
             sent = ()
-        self._send(Sightings(seen, (), sent), self.far)
+        self._send(Sightings(seen, (), sent, silent), self.far)
 
     def _seen(
         self, targets: dict[str, TargetState], now: float
--- a/wigeongw/gateway/sightings_test.py
+++ b/wigeongw/gateway/sightings_test.py
@@ -70,6 +70,19 @@
         sample = self.states[name].targets["i-1"].sample
         return sample.running if sample else None
 
+    async def test_all_hosts_hear_of_a_silent_upstream(self) -> None:
+        for name in ZONES:
+            self.probe(name, 1)
+        await asyncio.sleep(0.1)
+        silent = self.states["a"].targets["i-1"]
+        self.exchanges["a"].note_silent(silent, self.states["a"].clock.now())
+        await asyncio.sleep(0.1)
+        for name in ("b", "c"):
+            with self.subTest(host=name):
+                self.assertTrue(self.states[name].targets["i-1"].silent)
+        self.probe("b", 1)
+        self.assertFalse(self.states["b"].targets["i-1"].silent)
+
     async def test_hosts_near_by_hear_of_every_probe(self) -> None:
         self.probe("a", 3)
         await asyncio.sleep(0.1)
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -19,6 +19,7 @@
 from wigeongw.decisions.learned import Risk
 from wigeongw.decisions.learned import Work
 from wigeongw.decisions.placing import Candidate
+from wigeongw.decisions.queueing import TypicalPatience
 from wigeongw.decisions.routing import index_routes
 from wigeongw.decisions.routing import RouteIndex
 from wigeongw.decisions.routing import Split
@@ -52,6 +53,7 @@
         good: requests that ended well since others were told.
         failed: requests that did not.
         rest_until: it could not be reached and is left alone until then.
+        heard_silent: when another host began a probe that was not answered.
         misdirected: its address belongs to another upstream now.
     """
 
@@ -71,8 +73,19 @@
     failed: int = 0
     rest_ms: float = 0.0
     rest_until: float = 0.0
+    heard_silent: float = float("-inf")
     misdirected: bool = False
 
+    @property
+    def silent(self) -> bool:
+        """Whether it failed to answer and has not answered since.
+
+        What this host found itself only an answer to this host refutes: an
+        upstream may be cut off from some hosts.
+        """
+        seen = self.sample.at_ms if self.sample else float("-inf")
+        return self.rest_ms > 0.0 or self.heard_silent > seen
+
     def take(self, sample: LoadSample) -> None:
         """Take in what it said of its load."""
         held = self.sample
@@ -137,6 +150,7 @@
         self.targets: dict[str, TargetState] = {}
         self.by_service: dict[str, list[TargetState]] = {}
         self.work: dict[tuple[str, str], Work] = {}
+        self.patience: dict[str, TypicalPatience] = {}
         self.retries: dict[str, RetryShare] = {}
         self.stopping = False
         self.store_heard_ms = float("-inf")
@@ -184,6 +198,10 @@
             self.work[key] = found
         return found
 
+    def patience_of(self, route: Route) -> TypicalPatience:
+        """Return what time limit the callers of a route usually give."""
+        return self.patience.setdefault(route.name, TypicalPatience())
+
     def retry_share(self, service: str) -> RetryShare:
         """Return this host's part of a service's further sends."""
         found = self.retries.get(service)
@@ -226,6 +244,7 @@
             cold or now - state.warm_at > placing.WARM_LASTS_MS,
             state.probes.refill(now) >= 1.0,
             state.cold.refill(now) >= 1.0,
+            state.silent,
         )
 
     def busy_at(self, service: str) -> float:
@@ -253,6 +272,7 @@
         names = {route.name for route in configuration.routes}
         self.splits = {k: v for k, v in self.splits.items() if k in names}
         self.work = {k: v for k, v in self.work.items() if k[0] in names}
+        self.patience = {k: v for k, v in self.patience.items() if k in names}
 
     def _take_targets(self) -> list[Target]:
         gone = []
--- a/wigeongw/model/play.py
+++ b/wigeongw/model/play.py
@@ -10,6 +10,7 @@
 from wigeongw.core.site import LoadSample
 from wigeongw.core.site import Target
 from wigeongw.decisions import patience
+from wigeongw.decisions import queueing
 from wigeongw.decisions.placing import Candidate
 from wigeongw.model.policies import Asked
 from wigeongw.model.policies import POLICIES
@@ -28,6 +29,7 @@
         way_ms: from the client to a host and back.
         sample_age_ms: the oldest that a sample is when it is used.
         told: hosts tell each other where they send.
+        returns: how often a caller comes back after a refusal.
     """
 
     per_s: float
@@ -40,6 +42,7 @@
     way_ms: float = 16.0
     sample_age_ms: float = 30.0
     told: bool = True
+    returns: int = 0
     length_ms: float = 6_000.0
     machines: Machines = field(default_factory=Machines)
 
@@ -58,9 +61,13 @@
 
 @dataclass(slots=True)
 class _Request:
+    """One attempt of a caller; ``first`` is when its first one came."""
+
     arrived: float
     work_ms: float
     host: int
+    first: float
+    returns: int
     upstream: str = ""
 
 
@@ -74,6 +81,7 @@
         self.now = 0.0
         self.events: list[tuple[float, int, str, int]] = []
         self.order = itertools.count()
+        self.numbers = itertools.count()
         self.requests: dict[int, _Request] = {}
         self.result = Result()
         self.own: list[Counter[str]] = [Counter() for _ in range(load.hosts)]
@@ -96,6 +104,7 @@
         self._arrive_next()
         steps = {
             "arrive": self._arrive,
+            "return": self._return,
             "look": self._look,
             "finish": self._finish,
         }
@@ -112,17 +121,23 @@
     def _arrive_next(self) -> None:
         gap = self.rng.expovariate(self.load.per_s / 1_000.0)
         if self.now + gap < self.load.length_ms:
-            self._at(self.now + gap, "arrive", len(self.requests))
+            self._at(self.now + gap, "arrive", next(self.numbers))
 
     def _arrive(self, number: int) -> None:
         load = self.load
         work = self.rng.lognormvariate(0.0, load.work_spread) * load.work_ms
         host = self.rng.randrange(load.hosts)
-        self.requests[number] = _Request(self.now, work, host)
+        self.requests[number] = _Request(
+            self.now, work, host, self.now, load.returns
+        )
         self._arrive_next()
         self.waiting[host] += 1
         self._look(number)
 
+    def _return(self, number: int) -> None:
+        self.waiting[self.requests[number].host] += 1
+        self._look(number)
+
     def _look(self, number: int) -> None:
         request = self.requests[number]
         load = self.load
@@ -131,18 +146,50 @@
             self.waiting[request.host] -= 1
             self._send(number, request, chosen)
             return
-        ends = patience.queue_ends(
+        queue_ends = (
+            patience.overdue_queue_ends
+            if self._is_overdue(request)
+            else patience.queue_ends
+        )
+        ends = queue_ends(
             request.arrived,
             load.objective_ms,
             load.work_ms,
-            request.arrived + load.deadline_ms,
+            request.first + load.deadline_ms,
         )
         if self.now >= ends:
             self.waiting[request.host] -= 1
-            self.result.ended["refused"] += 1
+            self._refuse(request)
             return
         self._at(self.now + LOOK_EVERY_MS, "look", number)
 
+    def _refuse(self, request: _Request) -> None:
+        load = self.load
+        slots = load.upstreams * load.machines.slots // load.hosts
+        after = load.way_ms + patience.retry_after(
+            self.waiting[request.host], slots, load.work_ms, self.rng
+        )
+        back_at = self.now + after
+        if not request.returns or back_at > request.first + load.deadline_ms:
+            self.result.ended["refused"] += 1
+            return
+        number = next(self.numbers)
+        self.requests[number] = _Request(
+            back_at,
+            request.work_ms,
+            self.rng.randrange(load.hosts),
+            request.first,
+            request.returns - 1,
+        )
+        self._at(back_at, "return", number)
+
+    def _is_overdue(self, request: _Request) -> bool:
+        return queueing.is_overdue(
+            request.arrived - request.first,
+            self.load.objective_ms,
+            self.load.work_ms,
+        )
+
     def _send(self, number: int, request: _Request, chosen: str) -> None:
         request.upstream = chosen
         self.own[request.host][chosen] += 1
@@ -165,7 +212,7 @@
         if following is not None:
             other, took = following
             self._at(self.now + took, "finish", other)
-        took_ms = self.now - request.arrived + self.load.way_ms
+        took_ms = self.now - request.first + self.load.way_ms
         if took_ms <= self.load.objective_ms:
             self.result.ended["on time"] += 1
         elif took_ms <= self.load.deadline_ms:
@@ -185,6 +232,7 @@
             self.waiting[request.host],
             self.now,
             self.rng,
+            self._is_overdue(request),
         )
 
     def _candidate(self, name: str, host: int) -> Candidate:
--- a/wigeongw/model/play_test.py
+++ b/wigeongw/model/play_test.py
@@ -45,6 +45,27 @@
         self.assertEqual(found.ended["turned away"], 0, found.ended)
 
 
+class ReturningTest(unittest.TestCase):
+    """Half as many again as can be served, and callers come back."""
+
+    LOAD = Load(per_s=300.0, deadline_ms=1_500.0, returns=2)
+
+    def test_who_cannot_be_on_time_steps_back(self) -> None:
+        stepping = played(self.LOAD, "overdue_last")
+        pushing = played(self.LOAD, "patient_probes")
+        self.assertGreater(
+            stepping.share("on time"), 1.2 * pushing.share("on time")
+        )
+
+    def test_they_are_served_where_there_is_room(self) -> None:
+        """Nobody starves for having been refused once."""
+        light = Load(per_s=120.0, deadline_ms=1_500.0, returns=2)
+        found = played(light, "overdue_last")
+        self.assertGreaterEqual(
+            found.share("on time", "late"), 0.99, found.ended
+        )
+
+
 class QuietTest(unittest.TestCase):
     def test_nearly_all_are_on_time(self) -> None:
         found = played(QUIET, "patient_probes")
--- a/wigeongw/model/policies.py
+++ b/wigeongw/model/policies.py
@@ -7,6 +7,7 @@
 
 from wigeongw.decisions import patience
 from wigeongw.decisions import placing
+from wigeongw.decisions import queueing
 from wigeongw.decisions.placing import Candidate
 
 
@@ -17,6 +18,7 @@
     Attributes:
         own: this host's requests in flight, by upstream.
         waiting: requests that wait at this host.
+        overdue: the request cannot be on time any more.
     """
 
     candidates: Sequence[Candidate]
@@ -27,6 +29,7 @@
     waiting: int
     now: float
     rng: random.Random
+    overdue: bool = False
 
 
 Policy = Callable[[Asked], str | None]
@@ -70,14 +73,28 @@
 
 @policy("patient_probes")
 def patient_probes(asked: Asked) -> str | None:
-    """Choose as a host does: under pressure wait for a fast upstream."""
-    picky = patience.is_picky(
+    """Under pressure wait for a fast upstream."""
+    return _choose(asked, _is_picky(asked))
+
+
+@policy("overdue_last")
+def overdue_last(asked: Asked) -> str | None:
+    """Choose as a host does: also keep slots for who can be on time."""
+    if asked.overdue:
+        share = queueing.OVERDUE_SLOT_SHARE
+        return _choose(asked, _is_picky(asked), share)
+    return _choose(asked, _is_picky(asked))
+
+
+def _is_picky(asked: Asked) -> bool:
+    return patience.is_picky(
         asked.arrived, asked.objective_ms, asked.waiting, asked.now
     )
-    return _choose(asked, picky)
 
 
-def _choose(asked: Asked, picky: bool) -> str | None:
+def _choose(
+    asked: Asked, picky: bool, slot_share: float = placing.KNEE_SHARE
+) -> str | None:
     placed = placing.choose(
         asked.candidates,
         asked.work_ms,
@@ -86,5 +103,6 @@
         asked.now,
         asked.rng,
         picky,
+        slot_share,
     )
     return placed.target.identity if placed else None
