--- a/wigeongw/gateway/forwarder.py
+++ b/wigeongw/gateway/forwarder.py
@@ -234,6 +234,8 @@
             raise FailedError(502, failed.reason)
         work = self.state.work_of(request.route, request.service)
         after = self.placer.retry_after(request.service, work.mean_ms)
+        if self.placer.has_room(request.service):
+            after = patience.RETRY_SOON_MS
         raise RefusedError(failed.reason, after)
 
     # Sending
--- a/wigeongw/gateway/placer.py
+++ b/wigeongw/gateway/placer.py
@@ -22,7 +22,7 @@
 ROUND_NEXT = 4
 ROUNDS_MOST = 3
 # Between two looks of a request that waits for a place.
-LOOK_EVERY_MS = 15.0
+LOOK_EVERY_MS = 8.0
 
 
 @dataclass(slots=True)
@@ -120,13 +120,14 @@
                 break
         return placed
 
+    def has_room(self, service: str) -> bool:
+        """Say whether a request should find a slot at once."""
+        busy = self.state.busy_at(service)
+        return busy < placing.KNEE_SHARE and not self.waiting(service)
+
     def retry_after(self, service: str, work_ms: float) -> float:
         """Return when a caller should come back, in milliseconds."""
         usable = self.state.usable(service)
-        if self.state.busy_at(service) < placing.KNEE_SHARE and (
-            not self.waiting(service)
-        ):
-            return patience.RETRY_SOON_MS
         slots = sum(max(1, s.target.slots) for s in usable)
         hosts = max(1, len(self.state.view.hosts))
         return patience.retry_after(
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -251,7 +251,7 @@
         """Return the share of slots in use, from what was sampled last."""
         now = self.clock.now()
         used = slots = 0
-        for state in self.by_service.get(service, []):
+        for state in self.usable(service):
             sample = state.sample
             if sample is None or now - sample.at_ms > BUSY_LASTS_MS:
                 continue
--- a/wigeongw/model/play.py
+++ b/wigeongw/model/play.py
@@ -17,7 +17,7 @@
 from wigeongw.model.upstreams import Machines
 from wigeongw.model.upstreams import ModelUpstream
 
-LOOK_EVERY_MS = 15.0
+LOOK_EVERY_MS = 8.0
 
 
 @dataclass(frozen=True, slots=True)
