An answer's load leaves out the request it answers; near hosts hear of it

Cause: the figures of an answer count the request that it answers (1,766 answers: 1.75 running at the mean, never 0; probes: 0.64), so each host took the upstream it had just used for fuller than it was. One reader serves both dialects. Where slots are scarce, what answers say travels like probes.

--- a/wigeongw/adapters/own_dialect.py
+++ b/wigeongw/adapters/own_dialect.py
@@ -1,11 +1,17 @@
 """The product's own headers towards clients and upstreams."""
 
+from wigeongw.adapters.load_header import LoadFormat
+from wigeongw.adapters.load_header import read_load
 from wigeongw.core.site import LoadSample
+from wigeongw.ports.dialect import AnswerTo
 from wigeongw.ports.dialect import HeaderNames
 
-LOAD = "wigeongw-load"
-COLD = "wigeongw-cold-ms"
-FIGURES = 4
+LOAD_FORMAT = LoadFormat(
+    load="wigeongw-load",
+    cold="wigeongw-cold-ms",
+    usual=1.0,
+    counts_answered=False,
+)
 
 
 class OwnDialect:
@@ -25,22 +31,7 @@
         headers: dict[str, str],
         now: float,
         healthy: bool,
-        probed: bool,
+        answer_to: AnswerTo,
     ) -> LoadSample | None:
-        """Read running, waiting, slots and slowdown, and what is cold."""
-        try:
-            figures = [float(f) for f in headers[LOAD].split(",")]
-            cold_ms = float(headers.get(COLD) or 0.0)
-        except (KeyError, ValueError):
-            return None
-        if len(figures) != FIGURES:
-            return None
-        return LoadSample(
-            at_ms=now,
-            running=int(figures[0]),
-            waiting=int(figures[1]),
-            slots=int(figures[2]),
-            slowdown=figures[3],
-            cold_left_ms=cold_ms if probed else None,
-            healthy=healthy,
-        )
+        """Read what an answer says of its upstream's load."""
+        return read_load(LOAD_FORMAT, headers, now, healthy, answer_to)
--- a/wigeongw/adapters/sighting_codec.py
+++ b/wigeongw/adapters/sighting_codec.py
@@ -14,7 +14,7 @@
 from wigeongw.core.site import LoadSample
 
 # The first byte tells this format from later ones.
-VERSION = 2
+VERSION = 3
 HEAD = struct.Struct("!BBBBB")
 SENT = struct.Struct("!IB")
 SILENT = struct.Struct("!IB")
@@ -23,6 +23,9 @@
 SLOWDOWN_UNIT = 0.01
 BYTE_MOST = 255
 WORD_MOST = 65_535
+HEALTHY_FLAG = 1
+# It tells whether the upstream is cold; only probes do.
+COLD_KNOWN_FLAG = 2
 # So that a datagram fits into one packet.
 MOST_EACH = 50
 
@@ -174,6 +177,9 @@
 
 def _pack_seen(one: Seen) -> bytes:
     sample = one.sample
+    flags = HEALTHY_FLAG if sample.healthy else 0
+    if sample.cold_left_ms is not None:
+        flags |= COLD_KNOWN_FLAG
     return SEEN.pack(
         one.key,
         min(BYTE_MOST, sample.running),
@@ -182,21 +188,21 @@
         min(WORD_MOST, int(sample.slowdown / SLOWDOWN_UNIT)),
         min(WORD_MOST, int(sample.cold_left_ms or 0.0)),
         min(WORD_MOST, max(0, int(one.age_ms))),
-        int(sample.healthy),
+        flags,
     )
 
 
 def _unpack_seen(
     fields: tuple[int, int, int, int, int, int, int, int], now: float
 ) -> Seen:
-    key, running, waiting, slots, slowdown, cold_ms, age_ms, healthy = fields
+    key, running, waiting, slots, slowdown, cold_ms, age_ms, flags = fields
     sample = LoadSample(
         at_ms=now - age_ms,
         running=running,
         waiting=waiting,
         slots=slots,
         slowdown=slowdown * SLOWDOWN_UNIT,
-        cold_left_ms=float(cold_ms),
-        healthy=bool(healthy),
+        cold_left_ms=float(cold_ms) if flags & COLD_KNOWN_FLAG else None,
+        healthy=bool(flags & HEALTHY_FLAG),
     )
     return Seen(key, float(age_ms), sample)
--- a/wigeongw/gateway/forwarder.py
+++ b/wigeongw/gateway/forwarder.py
@@ -27,6 +27,7 @@
 from wigeongw.gateway.sightings import SightingExchange
 from wigeongw.gateway.state import HostState
 from wigeongw.gateway.state import TargetState
+from wigeongw.ports.dialect import AnswerTo
 from wigeongw.ports.dialect import Dialect
 
 MISDIRECTED = 421
@@ -314,16 +315,19 @@
         if reply.rest is None:
             self.pool.give_back(placed.target, connection)
         state.note_reached()
-        sample = self.dialect.load(reply.fields, now, True, False)
+        rejected = names.not_run in reply.fields
+        answer_to = AnswerTo.REJECTED if rejected else AnswerTo.REQUEST
+        sample = self.dialect.load(reply.fields, now, True, answer_to)
         if sample is not None:
             state.take(sample)
+            self.sightings.note_answer(state)
         instance = reply.fields.get(names.instance)
         misdirected = reply.status == MISDIRECTED and (
             instance is not None and instance != placed.target.identity
         )
         if misdirected:
             state.misdirected = True
-        if misdirected or names.not_run in reply.fields:
+        if misdirected or rejected:
             state.note_end(True, now)
             if reply.rest is not None:
                 connection.close()
--- a/wigeongw/gateway/prober.py
+++ b/wigeongw/gateway/prober.py
@@ -10,6 +10,7 @@
 from wigeongw.gateway.sightings import SightingExchange
 from wigeongw.gateway.state import HostState
 from wigeongw.gateway.state import TargetState
+from wigeongw.ports.dialect import AnswerTo
 from wigeongw.ports.dialect import Dialect
 
 # A probe waits for no slot; one that takes longer tells of trouble.
@@ -110,7 +111,7 @@
             return
         target.note_reached()
         healthy = reply.status == HEALTHY
-        sample = self.dialect.load(reply.fields, now, healthy, True)
+        sample = self.dialect.load(reply.fields, now, healthy, AnswerTo.PROBE)
         if sample is not None:
             target.take(sample)
             target.probed = sample
--- a/wigeongw/gateway/sightings.py
+++ b/wigeongw/gateway/sightings.py
@@ -52,6 +52,7 @@
         self.senders: frozenset[str] = frozenset()
         self.worked_out_for: tuple[Any, Any] = (None, None)
         self.fresh: dict[str, TargetState] = {}
+        self.answered: dict[str, TargetState] = {}
         self.for_far: dict[str, TargetState] = {}
         self.sent: list[tuple[int, float]] = []
         self.silent: dict[int, float] = {}
@@ -82,10 +83,15 @@
         self.fresh[target.target.identity] = target
         self._flush_within(GATHER_MS)
 
+    def note_answer(self, target: TargetState) -> None:
+        """Tell hosts near by what an answer said, if slots are scarce."""
+        if self._is_scarce(target):
+            self.answered[target.target.identity] = target
+            self._flush_within(GATHER_MS)
+
     def note_sent(self, target: TargetState) -> None:
         """Tell others where a request goes, if slots are scarce there."""
-        busy = self.state.busy_at(target.target.service)
-        if busy < SCARCE_BUSY:
+        if not self._is_scarce(target):
             return
         key = sighting_codec.key_of(target.target.identity)
         self.sent.append((key, self.state.clock.now()))
@@ -167,8 +173,9 @@
         silent = tuple(Silent(k, now - at) for k, at in self.silent.items())
         self.silent = {}
         self.for_far.update(self.fresh)
-        seen = self._seen(self.fresh, now)
+        seen = self._seen(self.fresh, now) + self._answered(now)
         self.fresh = {}
+        self.answered = {}
         self._send(Sightings(seen, self._ended(), sent, silent), self.near)
         seen = ()
         self.turn += 1
@@ -190,6 +197,18 @@
                 found.append(Seen(key, now - sample.at_ms, sample))
         return tuple(found)
 
+    def _answered(self, now: float) -> tuple[Seen, ...]:
+        found = []
+        for identity, target in self.answered.items():
+            sample = target.sample
+            if sample is not None and sample is not target.probed:
+                key = sighting_codec.key_of(identity)
+                found.append(Seen(key, now - sample.at_ms, sample))
+        return tuple(found)
+
+    def _is_scarce(self, target: TargetState) -> bool:
+        return self.state.busy_at(target.target.service) >= SCARCE_BUSY
+
     def _send(
         self, sightings: Sightings, to: Iterable[tuple[str, int]]
     ) -> None:
--- a/wigeongw/ports/dialect.py
+++ b/wigeongw/ports/dialect.py
@@ -1,11 +1,21 @@
 """How upstreams name what they are told and what they say."""
 
 from dataclasses import dataclass
+import enum
 from typing import Protocol
 
 from wigeongw.core.site import LoadSample
 
 
+class AnswerTo(enum.Enum):
+    """What an upstream's answer is to."""
+
+    PROBE = "probe"
+    REQUEST = "request"
+    # A request that the upstream turned away.
+    REJECTED = "rejected"
+
+
 @dataclass(frozen=True, slots=True)
 class HeaderNames:
     """Names of headers in lower case.
@@ -37,7 +47,7 @@
         headers: dict[str, str],
         now: float,
         healthy: bool,
-        probed: bool,
+        answer_to: AnswerTo,
     ) -> LoadSample | None:
         """Read what an answer says of its upstream's load.
 
@@ -45,7 +55,7 @@
             headers: by name in lower case.
             now: milliseconds on the monotonic clock.
             healthy: what the answer's status says.
-            probed: it answers a probe, which alone says what is cold.
+            answer_to: only probes tell what is cold.
 
         Returns:
             None when the answer says nothing that can be read.
