Overdue requests wait for half of the time they have

Cause: after an outage all callers come back at once; who was refused a second time was lost though there was room soon after. Waiting for all of the time was ruled out: who is held to the end without an upstream has no time left to come back.

--- a/wigeongw/decisions/patience.py
+++ b/wigeongw/decisions/patience.py
@@ -16,6 +16,9 @@
 WORK_SPREAD = 1.35
 QUEUE_LEAST_SHARE = 0.15
 QUEUE_MOST = 64
+# An overdue request waits for this part of the time it has: it loses little
+# by waiting, and its caller can still come back with what is left.
+OVERDUE_WAIT_SHARE = 0.5
 # With more requests than this waiting, a slow upstream is no place for one:
 # it would be late and hold a slot that several could use in turn.
 PRESSURE = 1
@@ -55,14 +58,18 @@
 
 
 def overdue_queue_ends(
-    arrived: float, objective_ms: float, work_ms: float, deadline: float
+    arrived: float, work_ms: float, deadline: float
 ) -> float:
     """Return until when a request may wait that cannot be on time.
 
-    The arguments are those of ``queue_ends``.
+    Args:
+        arrived: when it was read.
+        work_ms: what the request takes on a usual upstream.
+        deadline: when its client must have an answer.
     """
     latest = deadline - MARGIN_MS - work_ms * WORK_SPREAD
-    return min(arrived + objective_ms, latest)
+    share_ends = arrived + OVERDUE_WAIT_SHARE * (deadline - arrived)
+    return min(share_ends, latest)
 
 
 def is_picky(
--- a/wigeongw/gateway/placer.py
+++ b/wigeongw/gateway/placer.py
@@ -146,17 +146,7 @@
     ) -> Placement:
         if len(queue.turns) >= patience.QUEUE_MOST:
             raise self._refusal(wanted, "queue_full")
-        queue_ends = (
-            patience.overdue_queue_ends
-            if wanted.overdue
-            else patience.queue_ends
-        )
-        ends = queue_ends(
-            wanted.arrived,
-            wanted.route.objective_ms,
-            self.state.work_of(wanted.route, wanted.service).mean_ms,
-            wanted.ends_at,
-        )
+        ends = self._queue_ends(wanted)
         heapq.heappush(queue.turns, turn)
         try:
             while self.state.clock.now() < ends:
@@ -172,6 +162,16 @@
         known = bool(self.state.usable(wanted.service))
         raise self._refusal(wanted, "all_full" if known else "no_upstream")
 
+    def _queue_ends(self, wanted: Wanted) -> float:
+        work = self.state.work_of(wanted.route, wanted.service).mean_ms
+        if wanted.overdue:
+            return patience.overdue_queue_ends(
+                wanted.arrived, work, wanted.ends_at
+            )
+        return patience.queue_ends(
+            wanted.arrived, wanted.route.objective_ms, work, wanted.ends_at
+        )
+
     def _checked(self, wanted: Wanted, placed: Placement) -> Placement:
         left = wanted.ends_at - self.state.clock.now()
         if not patience.can_finish(placed.expected_ms, left):
--- a/wigeongw/model/play.py
+++ b/wigeongw/model/play.py
@@ -146,23 +146,23 @@
             self.waiting[request.host] -= 1
             self._send(number, request, chosen)
             return
-        queue_ends = (
-            patience.overdue_queue_ends
-            if self._is_overdue(request)
-            else patience.queue_ends
-        )
-        ends = queue_ends(
-            request.arrived,
-            load.objective_ms,
-            load.work_ms,
-            request.first + load.deadline_ms,
-        )
-        if self.now >= ends:
+        if self.now >= self._queue_ends(request):
             self.waiting[request.host] -= 1
             self._refuse(request)
             return
         self._at(self.now + LOOK_EVERY_MS, "look", number)
 
+    def _queue_ends(self, request: _Request) -> float:
+        load = self.load
+        deadline = request.first + load.deadline_ms
+        if self._is_overdue(request):
+            return patience.overdue_queue_ends(
+                request.arrived, load.work_ms, deadline
+            )
+        return patience.queue_ends(
+            request.arrived, load.objective_ms, load.work_ms, deadline
+        )
+
     def _refuse(self, request: _Request) -> None:
         load = self.load
         slots = load.upstreams * load.machines.slots // load.hosts
