--- a/wigeongw/decisions/placing.py
+++ b/wigeongw/decisions/placing.py
@@ -26,7 +26,7 @@
 # A sample says how fast an upstream is for about this long.
 SAMPLE_LASTS_MS = 150.0
 # A sample this old is used again rather than asked for anew.
-FRESH_MS = 30.0
+FRESH_MS = 15.0
 # What is assumed of an upstream's slowness when nothing fresh is known.
 UNKNOWN_SLOWDOWN = 2.0
 COLD_SLOWDOWN = 2.0
