A host that starts while the store is away begins with a seed's view

Cause: hosts that were stopped, killed or started while nobody, or not they, reached the store refused everybody until it was back.

--- a/wigeongw/core/site.py
+++ b/wigeongw/core/site.py
@@ -192,6 +192,9 @@
         directory: ``ip:port`` for clients that ask for addresses.
         peer: ``ip:port`` for other hosts; empty for none.
         metrics_port: for counters and histograms; 0 for none.
+        contact: ``ip:port`` that hosts ask which start while the store is
+            away; empty for none.
+        seeds: contacts of a few hosts, which may be down.
     """
 
     name: str
@@ -201,4 +204,6 @@
     directory: str
     peer: str = ""
     metrics_port: int = 0
+    contact: str = ""
+    seeds: tuple[str, ...] = ()
     bounds: Bounds = field(default_factory=Bounds)
--- a/wigeongw/gateway/follower.py
+++ b/wigeongw/gateway/follower.py
@@ -72,6 +72,26 @@
                 now = self.state.clock.now()
                 self._take(site_view.settle(self.state.view, now))
 
+    def borrow(self, reading: Reading) -> None:
+        """Take over what another host knows until the store can be read.
+
+        What it holds may lack removals that were not carried out there, so
+        the store is read afresh as soon as it answers.
+        """
+        if self.known or reading.position < self.state.view.position:
+            return
+        now = self.state.clock.now()
+        view = site_view.reread(
+            self.state.view, reading.changes, now, self.away_ms
+        )
+        position = reading.position
+        if position > self.state.view.position:
+            self.state.log.add(
+                "view", event="borrowed", position=position, age_ms=reading.age_ms
+            )
+        self.fresh = True
+        self._take(_stamped(view, position, now - reading.age_ms))
+
     def note_away(self, cause: str) -> None:
         """Note that the store did not answer."""
         self.away_ms = self.state.clock.now()
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -19,6 +19,7 @@
 from wigeongw.core.site import Bounds
 from wigeongw.core.site import HostIdentity
 from wigeongw.daemon.metrics import Metrics
+from wigeongw.gateway.borrower import Borrower
 from wigeongw.gateway.decision_log import DecisionLog
 from wigeongw.gateway.follower import Follower
 from wigeongw.gateway.forwarder import Forwarder
@@ -92,6 +93,9 @@
             self.relay_log,
         )
         self.follower = Follower(self.state, catalog, self.pool)
+        self.borrower = Borrower(
+            self.state, self.follower, surroundings.session
+        )
         self.registrar = Registrar(self.state, catalog, self.follower)
         placer = Placer(self.state, self.prober)
         forwarder = Forwarder(
@@ -144,6 +148,7 @@
             self.log.run,
             self.follower.run,
             self.follower.run_settling,
+            self.borrower.run,
             self.registrar.run,
             self.pool.run,
         ]
@@ -175,10 +180,8 @@
             split_address(me.front)[1]: self.front,
             **self.own_apps(self.state),
         }
-        if me.peer:
-            apps[split_address(me.peer)[1]] = RelayApp(
-                self.state, self.relay_log
-            )
+        for own in filter(None, (me.peer, me.contact)):
+            apps[split_address(own)[1]] = RelayApp(self.state, self.relay_log)
         if me.metrics_port:
             apps[me.metrics_port] = MetricsApp(self.state)
         address = split_address(me.front)[0]
--- a/wigeongw/gateway/relay.py
+++ b/wigeongw/gateway/relay.py
@@ -28,8 +28,11 @@
 from wigeongw.ports.catalog import Catalog
 from wigeongw.ports.catalog import CatalogError
 from wigeongw.ports.catalog import Reading
+from wigeongw.ports.catalog import ZoneEvacuated
 
 CHANGES_PATH = "/changes"
+# All that a host knows, for one that cannot read the store.
+STATE_PATH = "/state"
 JSON = "application/json"
 # Changes that a relay keeps for hosts that ask a little later.
 KEPT_CHANGES = 2_000
@@ -108,9 +111,30 @@
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
-        """Answer with changes after a position, waiting for one."""
+        """Answer with all that is known, or with what changed."""
         if scope["type"] != "http":
             return
+        if scope["path"] == STATE_PATH:
+            await self._answer_state(send)
+            return
+        await self._answer_changes(scope, send)
+
+    async def _answer_state(self, send: Send) -> None:
+        view = self.state.view
+        if view.configuration is None:
+            await answer(send, 503, JSON, "{}")
+            return
+        known = (
+            view.configuration,
+            *view.targets.values(),
+            *view.hosts.values(),
+            *(ZoneEvacuated(zone) for zone in sorted(view.evacuated)),
+        )
+        changes = [change_codec.encode(change) for change in known]
+        await self._answer(send, view.position, changes)
+
+    async def _answer_changes(self, scope: Scope, send: Send) -> None:
+        """Answer with changes after a position, waiting for one."""
         query = parse_qs(scope["query_string"].decode("latin-1"))
         try:
             position = int(query["after"][0])
@@ -123,9 +147,14 @@
         if changes is None or self.state.stopping:
             await answer(send, 410, JSON, "{}")
             return
+        await self._answer(send, max(position, self.log.last), changes)
+
+    async def _answer(
+        self, send: Send, position: int, changes: list[dict[str, Any]]
+    ) -> None:
         document = {
             "age_ms": self._age_ms(),
-            "position": max(position, self.log.last),
+            "position": position,
             "changes": changes,
         }
         text = change_codec.dumps(document).decode()
@@ -213,7 +242,10 @@
                     status = response.status
             if status != 200:
                 raise CatalogError(f"status {status}")
-            return _reading(raw)
+            reading = read_answer(raw)
+            if reading.age_ms > RELAY_AGE_MOST_MS:
+                raise CatalogError(f"store not heard: {reading.age_ms:.0f} ms")
+            return reading
         except (
             aiohttp.ClientError,
             OSError,
@@ -229,11 +261,11 @@
             return None
 
 
-def _reading(raw: bytes) -> Reading:
-    """Decode a relay's answer.
+def read_answer(raw: bytes) -> Reading:
+    """Decode another host's answer.
 
     Raises:
-        CatalogError: when it makes no sense or is too old to count.
+        CatalogError: when it makes no sense.
     """
     try:
         document = json.loads(raw)
@@ -244,6 +276,4 @@
         position = int(document["position"])
     except (ValueError, KeyError, TypeError, ChangeCodecError) as error:
         raise CatalogError(repr(error)) from error
-    if age_ms > RELAY_AGE_MOST_MS:
-        raise CatalogError(f"not in touch with the store for {age_ms:.0f} ms")
-    return Reading(changes, position, relayed=True)
+    return Reading(changes, position, relayed=True, age_ms=age_ms)
--- a/wigeongw/ports/catalog.py
+++ b/wigeongw/ports/catalog.py
@@ -68,11 +68,13 @@
         changes: in the order of their revisions.
         position: the store's revision; the next watch continues there.
         relayed: another host passed it on, so the store was not asked.
+        age_ms: since the store was heard.
     """
 
     changes: tuple[Change, ...]
     position: int
     relayed: bool = False
+    age_ms: float = 0.0
 
 
 class Catalog(Protocol):
