--- a/wigeongw/adapters/sighting_codec.py
+++ b/wigeongw/adapters/sighting_codec.py
@@ -14,14 +14,18 @@
 from wigeongw.core.site import LoadSample
 
 # The first byte tells this format from later ones.
-VERSION = 1
-HEAD = struct.Struct("!BBBB")
+VERSION = 3
+HEAD = struct.Struct("!BBBBB")
 SENT = struct.Struct("!IB")
+SILENT = struct.Struct("!IB")
 SEEN = struct.Struct("!IBBBHHHB")
 ENDED = struct.Struct("!IBB")
 SLOWDOWN_UNIT = 0.01
 BYTE_MOST = 255
 WORD_MOST = 65_535
+HEALTHY_FLAG = 1
+# It tells whether the upstream is cold; only probes do.
+COLD_KNOWN_FLAG = 2
 # So that a datagram fits into one packet.
 MOST_EACH = 50
 
@@ -65,6 +69,18 @@
     age_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class Silent:
+    """An upstream that did not answer a probe.
+
+    Attributes:
+        age_ms: since the probe began.
+    """
+
+    key: int
+    age_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Sightings:
     """The content of a datagram."""
@@ -72,11 +88,12 @@
     seen: tuple[Seen, ...] = ()
     ended: tuple[Ended, ...] = ()
     sent: tuple[Sent, ...] = ()
+    silent: tuple[Silent, ...] = ()
 
     @property
     def empty(self) -> bool:
         """Whether there is nothing to tell."""
-        return not (self.seen or self.ended or self.sent)
+        return not (self.seen or self.ended or self.sent or self.silent)
 
 
 def key_of(identity: str) -> int:
@@ -89,8 +106,15 @@
     some_seen = sightings.seen[:MOST_EACH]
     some_ended = sightings.ended[:MOST_EACH]
     some_sent = sightings.sent[:MOST_EACH]
+    some_silent = sightings.silent[:MOST_EACH]
     parts = [
-        HEAD.pack(VERSION, len(some_seen), len(some_ended), len(some_sent))
+        HEAD.pack(
+            VERSION,
+            len(some_seen),
+            len(some_ended),
+            len(some_sent),
+            len(some_silent),
+        )
     ]
     parts.extend(_pack_seen(one) for one in some_seen)
     parts.extend(
@@ -103,6 +127,10 @@
         SENT.pack(one.key, min(BYTE_MOST, int(one.age_ms)))
         for one in some_sent
     )
+    parts.extend(
+        SILENT.pack(one.key, min(BYTE_MOST, int(one.age_ms)))
+        for one in some_silent
+    )
     return b"".join(parts)
 
 
@@ -117,7 +145,8 @@
         SightingError: when it is not whole or of another version.
     """
     try:
-        version, seen_count, ended_count, sent_count = HEAD.unpack_from(data)
+        version, *counts = HEAD.unpack_from(data)
+        seen_count, ended_count, sent_count, silent_count = counts
         if version != VERSION:
             raise SightingError(f"version {version}")
         at = HEAD.size
@@ -134,13 +163,23 @@
             key, age_ms = SENT.unpack_from(data, at)
             sent.append(Sent(key, float(age_ms)))
             at += SENT.size
+        silent = []
+        for _ in range(silent_count):
+            key, age_ms = SILENT.unpack_from(data, at)
+            silent.append(Silent(key, float(age_ms)))
+            at += SILENT.size
     except struct.error as error:
         raise SightingError(str(error)) from error
-    return Sightings(tuple(seen), tuple(ended), tuple(sent))
+    return Sightings(
+        tuple(seen), tuple(ended), tuple(sent), tuple(silent)
+    )
 
 
 def _pack_seen(one: Seen) -> bytes:
     sample = one.sample
+    flags = HEALTHY_FLAG if sample.healthy else 0
+    if sample.cold_left_ms is not None:
+        flags |= COLD_KNOWN_FLAG
     return SEEN.pack(
         one.key,
         min(BYTE_MOST, sample.running),
@@ -149,21 +188,21 @@
         min(WORD_MOST, int(sample.slowdown / SLOWDOWN_UNIT)),
         min(WORD_MOST, int(sample.cold_left_ms or 0.0)),
         min(WORD_MOST, max(0, int(one.age_ms))),
-        int(sample.healthy),
+        flags,
     )
 
 
 def _unpack_seen(
     fields: tuple[int, int, int, int, int, int, int, int], now: float
 ) -> Seen:
-    key, running, waiting, slots, slowdown, cold_ms, age_ms, healthy = fields
+    key, running, waiting, slots, slowdown, cold_ms, age_ms, flags = fields
     sample = LoadSample(
         at_ms=now - age_ms,
         running=running,
         waiting=waiting,
         slots=slots,
         slowdown=slowdown * SLOWDOWN_UNIT,
-        cold_left_ms=float(cold_ms),
-        healthy=bool(healthy),
+        cold_left_ms=float(cold_ms) if flags & COLD_KNOWN_FLAG else None,
+        healthy=bool(flags & HEALTHY_FLAG),
     )
     return Seen(key, float(age_ms), sample)
--- a/wigeongw/decisions/patience.py
+++ b/wigeongw/decisions/patience.py
@@ -13,9 +13,12 @@
 # longer waits lead to late answers, which are worth little to the caller and
 # keep others waiting.
 WAY_SHARE = 0.1
-WORK_SPREAD = 1.1
+WORK_SPREAD = 1.35
 QUEUE_LEAST_SHARE = 0.15
 QUEUE_MOST = 64
+# An overdue request waits for this part of the time it has: it loses little
+# by waiting, and its caller can still come back with what is left.
+OVERDUE_WAIT_SHARE = 0.5
 # With more requests than this waiting, a slow upstream is no place for one:
 # it would be late and hold a slot that several could use in turn.
 PRESSURE = 1
@@ -26,6 +29,8 @@
 LATE_FACTOR = 1.6
 LATE_SHARE = 0.45
 RETRY_AFTER_LEAST_MS = 50.0
+# For a caller whose request an upstream turned away though others have room.
+RETRY_SOON_MS = 15.0
 RETRY_AFTER_MOST_MS = 1_000.0
 # Time that is kept for the way back to the client.
 MARGIN_MS = 5.0
@@ -52,6 +57,21 @@
     return min(arrived + wait, deadline - MARGIN_MS)
 
 
+def overdue_queue_ends(
+    arrived: float, work_ms: float, deadline: float
+) -> float:
+    """Return until when a request may wait that cannot be on time.
+
+    Args:
+        arrived: when it was read.
+        work_ms: what the request takes on a usual upstream.
+        deadline: when its client must have an answer.
+    """
+    latest = deadline - MARGIN_MS - work_ms * WORK_SPREAD
+    share_ends = arrived + OVERDUE_WAIT_SHARE * (deadline - arrived)
+    return min(share_ends, latest)
+
+
 def is_picky(
     arrived: float, objective_ms: float, waiting: int, now: float
 ) -> bool:
--- a/wigeongw/gateway/placer.py
+++ b/wigeongw/gateway/placer.py
@@ -9,7 +9,9 @@
 from wigeongw.core.site import Route
 from wigeongw.decisions import patience
 from wigeongw.decisions import placing
+from wigeongw.decisions import queueing
 from wigeongw.decisions.placing import Placement
+from wigeongw.decisions.queueing import Turn
 from wigeongw.gateway.errors import RefusedError
 from wigeongw.gateway.prober import Prober
 from wigeongw.gateway.state import HostState
@@ -20,16 +22,7 @@
 ROUND_NEXT = 4
 ROUNDS_MOST = 3
 # Between two looks of a request that waits for a place.
-LOOK_EVERY_MS = 15.0
-
-
-@dataclass(frozen=True, slots=True, order=True)
-class Turn:
-    """Where a request stands in a queue: urgent first, then by deadline."""
-
-    priority: int
-    ends_at: float
-    number: int
+LOOK_EVERY_MS = 8.0
 
 
 @dataclass(slots=True)
@@ -50,6 +43,7 @@
     Attributes:
         arrived: when the client's request was read.
         ends_at: when its time is over.
+        overdue: it cannot be on time any more.
         tried: identities of upstreams that it was sent to.
     """
 
@@ -58,6 +52,7 @@
     service: str
     arrived: float
     ends_at: float
+    overdue: bool = False
     tried: frozenset[str] = frozenset()
 
 
@@ -78,7 +73,12 @@
         """
         queue = self.queues.setdefault(wanted.service, Queue())
         self.last_number += 1
-        turn = Turn(wanted.route.priority, wanted.ends_at, self.last_number)
+        turn = Turn(
+            wanted.route.priority,
+            wanted.overdue,
+            wanted.ends_at,
+            self.last_number,
+        )
         if queue.is_first(turn):
             placed = await self.look(wanted)
             if placed is not None:
@@ -112,6 +112,7 @@
                     self.waiting(wanted.service),
                     now,
                 ),
+                self._slot_share(wanted),
             )
             if placed is not None and self._is_sure(placed, objective):
                 break
@@ -119,6 +120,20 @@
                 break
         return placed
 
+    def has_room(self, service: str) -> bool:
+        """Say whether a request should find a slot at once."""
+        busy = self.state.busy_at(service)
+        return busy < placing.KNEE_SHARE and not self.waiting(service)
+
+    def retry_after(self, service: str, work_ms: float) -> float:
+        """Return when a caller should come back, in milliseconds."""
+        usable = self.state.usable(service)
+        slots = sum(max(1, s.target.slots) for s in usable)
+        hosts = max(1, len(self.state.view.hosts))
+        return patience.retry_after(
+            self.waiting(service), slots // hosts, work_ms, self.state.rng
+        )
+
     def waiting(self, service: str) -> int:
         """Return how many requests wait for a service."""
         queue = self.queues.get(service)
@@ -131,12 +146,7 @@
     ) -> Placement:
         if len(queue.turns) >= patience.QUEUE_MOST:
             raise self._refusal(wanted, "queue_full")
-        ends = patience.queue_ends(
-            wanted.arrived,
-            wanted.route.objective_ms,
-            self.state.work_of(wanted.route, wanted.service).mean_ms,
-            wanted.ends_at,
-        )
+        ends = self._queue_ends(wanted)
         heapq.heappush(queue.turns, turn)
         try:
             while self.state.clock.now() < ends:
@@ -152,6 +162,16 @@
         known = bool(self.state.usable(wanted.service))
         raise self._refusal(wanted, "all_full" if known else "no_upstream")
 
+    def _queue_ends(self, wanted: Wanted) -> float:
+        work = self.state.work_of(wanted.route, wanted.service).mean_ms
+        if wanted.overdue:
+            return patience.overdue_queue_ends(
+                wanted.arrived, work, wanted.ends_at
+            )
+        return patience.queue_ends(
+            wanted.arrived, wanted.route.objective_ms, work, wanted.ends_at
+        )
+
     def _checked(self, wanted: Wanted, placed: Placement) -> Placement:
         left = wanted.ends_at - self.state.clock.now()
         if not patience.can_finish(placed.expected_ms, left):
@@ -160,12 +180,8 @@
 
     def _refusal(self, wanted: Wanted, reason: str) -> RefusedError:
         usable = self.state.usable(wanted.service)
-        slots = sum(max(1, s.target.slots) for s in usable)
-        hosts = max(1, len(self.state.view.hosts))
         work = self.state.work_of(wanted.route, wanted.service).mean_ms
-        after = patience.retry_after(
-            self.waiting(wanted.service), slots // hosts, work, self.state.rng
-        )
+        after = self.retry_after(wanted.service, work)
         now = self.state.clock.now()
         self.state.log.add(
             "refuse",
@@ -178,10 +194,17 @@
             waiting=self.waiting(wanted.service),
             work_ms=work,
             left_ms=wanted.ends_at - now,
+            overdue=int(wanted.overdue),
             retry_after_ms=after,
         )
         return RefusedError(reason, after)
 
+    @staticmethod
+    def _slot_share(wanted: Wanted) -> float:
+        if wanted.overdue:
+            return queueing.OVERDUE_SLOT_SHARE
+        return placing.KNEE_SHARE
+
     @staticmethod
     def _is_sure(placed: Placement, objective_ms: float) -> bool:
         """Say whether further probes would hardly find a better place."""
@@ -212,6 +235,8 @@
 
     def _objective_left(self, wanted: Wanted, now: float) -> float:
         """Return what is left of the objective, or of all the time."""
+        if wanted.overdue:
+            return max(1.0, wanted.ends_at - now)
         left = wanted.arrived + wanted.route.objective_ms - now
         if left > 0.2 * wanted.route.objective_ms:
             return left
