--- a/wigeongw/commands/main.py
+++ b/wigeongw/commands/main.py
@@ -3,6 +3,7 @@
 import typer
 
 from wigeongw.commands import demo
+from wigeongw.commands import model
 from wigeongw.commands import record
 from wigeongw.commands import replay
 from wigeongw.commands import serve
@@ -26,6 +27,7 @@
 app.command("status")(status.status)
 app.command("record")(record.record)
 app.command("replay")(replay.replay)
+app.command("model")(model.model)
 app.add_typer(
     settings.app, name="settings", help="Check and publish settings."
 )
--- a/wigeongw/commands/record.py
+++ b/wigeongw/commands/record.py
@@ -2,6 +2,7 @@
 
 import datetime
 import pathlib
+import re
 from typing import Annotated
 
 import typer
@@ -9,7 +10,8 @@
 from wigeongw.commands import exits
 from wigeongw.core.clock import MS_PER_S
 
-PREFIXES = ("route: ", "place: ", "record: ")
+# A line of a part; what a collector put before it does not matter.
+LINE = re.compile(r"(?:^|\s)[a-z]+: (at=.*)")
 
 
 def record(
@@ -65,10 +67,11 @@
 
 
 def parse(line: str) -> dict[str, str]:
-    """Read the fields of a record line; empty for any other line."""
-    if not line.startswith(PREFIXES):
+    """Read the fields of a part's line; empty for any other line."""
+    found = LINE.search(line)
+    if found is None:
         return {}
-    pairs = (word.partition("=") for word in line.split()[1:])
+    pairs = (word.partition("=") for word in found[1].split())
     return {key: value for key, _, value in pairs}
 
 
