A relay for every thirty hosts, compressed answers, calls to the store counted and timed

Cause: on the grown site one relay's link of 10 Mbit/s was filled by a configuration for 137 hosts, so it lost the store and they all asked it. Small sites keep one relay. A host asks one relay, then the store.

--- a/wigeongw/decisions/relaying.py
+++ b/wigeongw/decisions/relaying.py
@@ -4,9 +4,10 @@
 
 from wigeongw.core.identity import rendezvous
 
-# More would cost calls to the store and save little time: without a relay
-# hosts ask the store itself.
-RELAYS = 1
+# How many hosts one relay serves: each change goes to all of them over its
+# link. More relays would cost calls to the store and save little time, since
+# a host whose relay fails asks the store itself.
+HOSTS_PER_RELAY = 30
 
 
 def relays(hosts: Iterable[str]) -> list[str]:
@@ -15,4 +16,6 @@
     Args:
         hosts: names of all that are registered.
     """
-    return rendezvous("relay", hosts, RELAYS)
+    names = list(hosts)
+    count = 1 + len(names) // HOSTS_PER_RELAY
+    return rendezvous("relay", names, count)
--- a/wigeongw/gateway/own_answers.py
+++ b/wigeongw/gateway/own_answers.py
@@ -47,11 +47,19 @@
 
 async def answer(send: Send, status: int, media: str, text: str) -> None:
     """Send a whole answer."""
-    body = text.encode()
+    await answer_bytes(send, status, media, text.encode())
+
+
+async def answer_bytes(
+    send: Send, status: int, media: str, body: bytes, encoding: str = ""
+) -> None:
+    """Send a whole answer; a body may come encoded."""
     headers = [
         (b"content-type", media.encode()),
         (b"content-length", str(len(body)).encode()),
     ]
+    if encoding:
+        headers.append((b"content-encoding", encoding.encode()))
     await send(
         {
             "type": "http.response.start",
--- a/wigeongw/gateway/relay.py
+++ b/wigeongw/gateway/relay.py
@@ -1,6 +1,6 @@
 """Passes on what one host read from the store, so that few hosts ask it.
 
-The relay watches the store; all others ask it. A relay that does not answer
+A relay watches the store; all others ask one. A relay that does not answer
 in time, or has not heard the store for a while, is passed over and the store
 is asked instead, so a relay that is killed, frozen or cut off costs less than
 a second.
@@ -8,9 +8,12 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Awaitable
 import json
 from typing import Any
+from typing import TypeVar
 from urllib.parse import parse_qs
+import zlib
 
 import aiohttp
 
@@ -21,6 +24,7 @@
 from wigeongw.core.site import Host
 from wigeongw.decisions import relaying
 from wigeongw.gateway.own_answers import answer
+from wigeongw.gateway.own_answers import answer_bytes
 from wigeongw.gateway.own_answers import Receive
 from wigeongw.gateway.own_answers import Scope
 from wigeongw.gateway.own_answers import Send
@@ -30,12 +34,18 @@
 from wigeongw.ports.catalog import Reading
 from wigeongw.ports.catalog import ZoneEvacuated
 
+T = TypeVar("T")
+
 CHANGES_PATH = "/changes"
 # All that a host knows, for one that cannot read the store.
 STATE_PATH = "/state"
 JSON = "application/json"
 # Changes that a relay keeps for hosts that ask a little later.
 KEPT_CHANGES = 2_000
+# Longer answers are compressed: a configuration goes to many hosts over one
+# link at the same moment.
+PLAIN_MOST_BYTES = 1_000
+PACK_LEVEL = 1
 # How long a host's question waits at a relay for a change.
 RELAY_WAIT_MS = 500.0
 # After it the relay is taken for gone.
@@ -157,8 +167,12 @@
             "position": position,
             "changes": changes,
         }
-        text = change_codec.dumps(document).decode()
-        await answer(send, 200, JSON, text)
+        body = change_codec.dumps(document)
+        if len(body) < PLAIN_MOST_BYTES:
+            await answer_bytes(send, 200, JSON, body)
+            return
+        packed = zlib.compress(body, PACK_LEVEL)
+        await answer_bytes(send, 200, JSON, packed, "deflate")
 
     def _age_ms(self) -> float:
         """Return for how long this host has not heard the store."""
@@ -184,7 +198,7 @@
 
     async def read(self, fresh: bool) -> Reading:
         """Read everything from the store."""
-        reading = await self.store.read(fresh)
+        reading = await self._timed("read", self.store.read(fresh))
         self.state.store_heard_ms = self.state.clock.now()
         self.log.restart(reading.position)
         return reading
@@ -197,7 +211,9 @@
                 return reading
         try:
             async with asyncio.timeout(seconds(wait_ms + STORE_ANSWER_MS)):
-                reading = await self.store.watch(position, wait_ms)
+                reading = await self._timed(
+                    "watch", self.store.watch(position, wait_ms)
+                )
         except TimeoutError as error:
             raise CatalogError("no answer in time") from error
         self.state.store_heard_ms = self.state.clock.now()
@@ -206,18 +222,38 @@
 
     async def register(self, host: Host, lifetime_ms: float) -> int:
         """Write a host's entry to the store."""
-        return await self.store.register(host, lifetime_ms)
+        return await self._timed(
+            "register", self.store.register(host, lifetime_ms)
+        )
 
     async def renew(self, lease: int) -> None:
         """Prolong a lease at the store."""
-        await self.store.renew(lease)
+        await self._timed("renew", self.store.renew(lease))
 
     async def withdraw(self, lease: int) -> None:
         """End a lease at the store."""
-        await self.store.withdraw(lease)
+        await self._timed("withdraw", self.store.withdraw(lease))
+
+    async def _timed(self, call: str, answer: Awaitable[T]) -> T:
+        """Count a call to the store and how long it took, by outcome."""
+        began = self.state.clock.now()
+        outcome = "failed"
+        try:
+            found = await answer
+            outcome = "answered"
+            return found
+        finally:
+            took = self.state.clock.now() - began
+            metrics = self.state.metrics
+            metrics.count("store_calls_total", call, outcome)
+            metrics.time(took, "store_call_ms", call, outcome)
 
     def _relays(self) -> list[Host]:
-        """Return whom to ask, best first; nobody when this is a relay."""
+        """Return whom to ask; nobody when this is a relay.
+
+        After one that fails the store is asked, since each further one might
+        take as long to fail.
+        """
         hosts = self.state.view.hosts
         names = relaying.relays(hosts)
         me = self.state.me.name
@@ -229,7 +265,7 @@
             hosts[name]
             for name in ordered
             if self.resting.get(name, now) <= now and hosts[name].peer
-        ]
+        ][:1]
 
     async def _ask(self, relay: Host, position: int) -> Reading | None:
         url = f"http://{relay.peer}{CHANGES_PATH}"
