--- /dev/null
+++ b/soak/site.py
@@ -0,0 +1,218 @@
+"""A site of real hosts on this machine, with everything around them."""
+
+import asyncio
+from contextlib import AsyncExitStack
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+
+import aiohttp
+
+from clockworks import examples
+from clockworks.store_stand_in import StoreStandIn
+from soak.callers import Caller
+from soak.proxy import Proxy
+from soak.records import Seen
+from soak.upstreams import SoakUpstream
+
+ROOT = pathlib.Path(__file__).resolve().parents[1]
+START = ROOT / "platform" / "start.py"
+ZONES = ("amman", "irbid")
+HOSTS = 4
+UPSTREAMS = 3
+CALLERS = 10
+GRACE_S = 3.0
+READY_WITHIN_S = 10.0
+CONFIGURATION = "op/config"
+# Signals that a process ignores and handles.
+MASKS = ("SigIgn:", "SigCgt:")
+
+
+def free_address() -> str:
+    """Return an address that was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+class SoakHost:
+    """One entry host: a process that comes and goes at fixed addresses."""
+
+    def __init__(self, name: str, zone: str, folder: pathlib.Path) -> None:
+        self.name = name
+        self.zone = zone
+        self.settings = folder / f"{name}.json"
+        self.output = folder / f"{name}.log"
+        self.listen = {
+            role: free_address()
+            for role in ("front", "ready", "directory", "control")
+        }
+        self.peer_port = int(free_address().rpartition(":")[2])
+        self.door: Proxy
+        self.process: asyncio.subprocess.Process | None = None
+
+    def write_settings(self, seeds: list[str]) -> None:
+        """Write what the platform would."""
+        document = examples.settings()
+        document.update(
+            nodeName=self.name,
+            zone=self.zone,
+            ip="127.0.0.1",
+            internalPorts=[self.peer_port, self.peer_port],
+            listen=self.listen,
+            seeds=seeds,
+        )
+        document["bounds"]["graceS"] = GRACE_S
+        document["platform"]["address"] = self.door.address
+        self.settings.write_text(json.dumps(document), encoding="utf-8")
+
+    async def start(self) -> None:
+        """Start the process."""
+        with self.output.open("ab") as output:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(START),
+                env={
+                    **os.environ,
+                    "WIGEONGW_BOOT": str(self.settings),
+                    "PYTHONPATH": str(ROOT),
+                },
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    def hears(self, number: int) -> bool:
+        """Say whether a signal would not end the process.
+
+        For some hundredths of a second the interpreter itself is loaded, and
+        no program can ask it not to end.
+        """
+        if self.process is None or self.process.returncode is not None:
+            return False
+        path = pathlib.Path(f"/proc/{self.process.pid}/status")
+        lines = path.read_text(encoding="utf-8").splitlines()
+        masks = [line.split()[1] for line in lines if line.startswith(MASKS)]
+        return any(int(mask, 16) >> (number - 1) & 1 for mask in masks)
+
+    async def gone(self) -> int:
+        """Wait for the process to end and return its code."""
+        assert self.process is not None
+        return await self.process.wait()
+
+    async def end(self) -> None:
+        """Kill the process if it runs."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+
+class Site:
+    """The store, upstreams, hosts and callers of one play."""
+
+    def __init__(
+        self, seed: int, folder: pathlib.Path, stack: AsyncExitStack
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.seed = seed
+        self.stack = stack
+        self.seen = Seen()
+        self.store = StoreStandIn()
+        self.version = 7
+        self.upstreams = [
+            SoakUpstream(
+                f"i-{service}-{n}",
+                service,
+                ZONES[n % len(ZONES)],
+                self.seen,
+                self.rng,
+            )
+            for service in ("dial", "desk")
+            for n in range(UPSTREAMS)
+        ]
+        self.hosts = [
+            SoakHost(f"entry-{n}", ZONES[n % len(ZONES)], folder)
+            for n in range(HOSTS)
+        ]
+        self.calling: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Start everything and wait until every host is ready."""
+        await self.store.start(self.stack)
+        expiring = asyncio.create_task(self.store.expire())
+        self.stack.callback(expiring.cancel)
+        for upstream in self.upstreams:
+            await upstream.start(self.stack)
+            key = f"servers/{upstream.identity}"
+            await self.store.put(key, upstream.entry())
+        await self.configure()
+        seeds = [host.listen["control"] for host in self.hosts[:2]]
+        for host in self.hosts:
+            host.door = Proxy(self.store.address)
+            await host.door.start(self.stack)
+            host.write_settings(seeds)
+            await host.start()
+            self.stack.push_async_callback(host.end)
+        await self.until_ready()
+        fronts = {host.name: host.listen["front"] for host in self.hosts}
+        for number in range(CALLERS):
+            caller = Caller(
+                f"c{number}", fronts, self.seen, self.seed * 100 + number
+            )
+            task = asyncio.create_task(caller.run())
+            self.calling.append(task)
+            self.stack.callback(task.cancel)
+
+    async def configure(self) -> None:
+        """Publish the next version of the configuration."""
+        self.version += 1
+        document = examples.configuration(self.version)
+        document["routes"]["r-split"].pop("trafficSplit")
+        document["routes"]["r-split"]["service"] = "dial"
+        await self.store.put(CONFIGURATION, document)
+
+    async def until_ready(self) -> None:
+        """Wait until every host is ready; note those that are not."""
+        ends = time.monotonic() + READY_WITHIN_S
+        async with aiohttp.ClientSession() as session:
+            for host in self.hosts:
+                while not await self._is_ready(session, host):
+                    if time.monotonic() > ends:
+                        self.seen.mistakes.append(f"{host.name}: not ready")
+                        break
+                    await asyncio.sleep(0.05)
+
+    async def addresses(self, host: SoakHost) -> set[str]:
+        """Ask a host which addresses callers should use."""
+        url = f"http://{host.listen['directory']}/resolve?name=a.example"
+        try:
+            async with aiohttp.ClientSession() as session:
+                async with session.get(url) as response:
+                    found: dict[str, Any] = await response.json()
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            self.seen.mistakes.append(f"{host.name}: no answer: {error!r}")
+            return set()
+        return set(found.get("addrs", []))
+
+    async def _is_ready(
+        self, session: aiohttp.ClientSession, host: SoakHost
+    ) -> bool:
+        try:
+            async with asyncio.timeout(1.0):
+                url = f"http://{host.listen['ready']}/ready"
+                async with session.get(url) as response:
+                    return response.status == 200
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
