--- a/wigeongw/decisions/placing.py
+++ b/wigeongw/decisions/placing.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass
 import random
 
+from wigeongw.core.identity import rendezvous
 from wigeongw.core.site import LoadSample
 from wigeongw.core.site import Target
 
@@ -45,6 +46,11 @@
 RISK_WEIGHT = 2.0
 UNHEALTHY_RISK = 0.4
 FAR_PENALTY_MS = 4.0
+# Where many hosts and upstreams are near each other, a host keeps to so many
+# of a service: each has a few hosts at all times, and connections grow with
+# the hosts alone.
+OWN_PART = 8
+NOT_OWN_PENALTY_MS = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +67,7 @@
         askable: this host may probe it now.
         cold_open: whether this host may send it a request all the same.
         silent: it failed to answer and has not answered since.
+        own: it is in this host's own part of the upstreams near by.
     """
 
     target: Target
@@ -73,6 +80,7 @@
     askable: bool
     cold_open: bool
     silent: bool = False
+    own: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,6 +210,19 @@
     return best
 
 
+def own_part(
+    host: str, near: Iterable[str], part: int = OWN_PART
+) -> frozenset[str]:
+    """Choose a host's own part of the upstreams of a service near by.
+
+    Args:
+        host: its name.
+        near: identities of the upstreams.
+        part: how many.
+    """
+    return frozenset(rendezvous(host, near, part))
+
+
 def not_silent(candidates: Iterable[Candidate]) -> list[Candidate]:
     """Leave out silent upstreams while there are others.
 
@@ -234,10 +255,11 @@
     All hosts see about the same, so the order is blurred by chance.
     """
 
-    def rank(candidate: Candidate) -> tuple[bool, float]:
+    def rank(candidate: Candidate) -> tuple[bool, bool, float]:
         seems = estimate(candidate, 1.0, busy, now)
         seems *= 1.0 + candidate.risk * RISK_WEIGHT
-        return not candidate.near, seems * (1.0 + BLUR * rng.random())
+        blurred = seems * (1.0 + BLUR * rng.random())
+        return not candidate.near, not candidate.own, blurred
 
     open_ones = [c for c in candidates if c.askable or is_fresh(c.sample, now)]
     return sorted(open_ones, key=rank)
@@ -256,6 +278,8 @@
     score = expected + risk * RISK_WEIGHT * objective_ms
     if not candidate.near:
         score += FAR_PENALTY_MS
+    elif not candidate.own:
+        score += NOT_OWN_PENALTY_MS
     return score + rng.random()
 
 
--- a/wigeongw/decisions/placing_test.py
+++ b/wigeongw/decisions/placing_test.py
@@ -26,6 +26,8 @@
     healthy: bool = True,
     sampled: bool = True,
     askable: bool = True,
+    silent: bool = False,
+    own: bool = True,
 ) -> Candidate:
     target = Target(name, "s", "127.0.0.1:1", "amman", 4)
     sample = LoadSample(NOW - age, running, waiting, 4, slowdown, 0.0, healthy)
@@ -39,6 +41,8 @@
         cold or doubtful,
         askable,
         open_cold,
+        silent,
+        own,
     )
 
 
@@ -55,6 +59,37 @@
     return placed.target.identity if placed else None
 
 
+class OwnPartTest(unittest.TestCase):
+    """Many hosts and upstreams near each other: connections stay few."""
+
+    UPSTREAMS = tuple(f"u{n}" for n in range(40))
+    HOSTS = tuple(f"h{n}" for n in range(40))
+
+    def test_every_upstream_is_in_the_part_of_several_hosts(self) -> None:
+        parts = [placing.own_part(h, self.UPSTREAMS) for h in self.HOSTS]
+        for upstream in self.UPSTREAMS:
+            with self.subTest(upstream=upstream):
+                holders = sum(upstream in part for part in parts)
+                self.assertGreaterEqual(holders, 2)
+
+    def test_connections_grow_with_the_hosts_alone(self) -> None:
+        for host in self.HOSTS:
+            for count in (1, 8, 20, 40):
+                part = placing.own_part(host, self.UPSTREAMS[:count])
+                self.assertEqual(len(part), min(count, placing.OWN_PART))
+
+    def test_own_ones_are_asked_and_taken_first(self) -> None:
+        other = candidate("other", own=False)
+        mine = candidate("mine")
+        order = placing.probe_order([other, mine], 0.5, NOW, random.Random(1))
+        self.assertEqual(order[0].target.identity, "mine")
+        self.assertEqual(chosen(other, mine), "mine")
+
+    def test_others_are_taken_when_own_ones_are_full(self) -> None:
+        full = candidate("mine", running=4)
+        self.assertEqual(chosen(candidate("other", own=False), full), "other")
+
+
 class ChooseTest(unittest.TestCase):
     def test_what_should_finish_first_is_chosen(self) -> None:
         plain = candidate("a")
--- a/wigeongw/gateway/sightings.py
+++ b/wigeongw/gateway/sightings.py
@@ -36,7 +36,8 @@
 # Hosts in other availability zones hear all of several such times at once:
 # they seldom send here and each byte between zones is paid for.
 FAR_EVERY = 4
-# Beyond this many, far hosts are not told of each request.
+# Beyond this many, far hosts hear of silent upstreams only: each has enough
+# upstreams near by, and what all would tell all grows with their square.
 FAR_MOST = 32
 
 
@@ -183,7 +184,7 @@
             seen = self._seen(self.for_far, now)
             self.for_far = {}
         if len(self.far) > FAR_MOST:
-            sent = ()
+            seen, sent = (), ()
         self._send(Sightings(seen, (), sent, silent), self.far)
 
     def _seen(
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -55,6 +55,7 @@
         rest_until: it could not be reached and is left alone until then.
         heard_silent: when another host began a probe that was not answered.
         misdirected: its address belongs to another upstream now.
+        own: it is in this host's own part of the upstreams near by.
     """
 
     target: Target
@@ -75,6 +76,7 @@
     rest_until: float = 0.0
     heard_silent: float = float("-inf")
     misdirected: bool = False
+    own: bool = True
 
     @property
     def silent(self) -> bool:
@@ -245,6 +247,7 @@
             state.probes.refill(now) >= 1.0,
             state.cold.refill(now) >= 1.0,
             state.silent,
+            state.own,
         )
 
     def busy_at(self, service: str) -> float:
@@ -290,6 +293,13 @@
         for state in self.targets.values():
             name = state.target.service
             self.by_service.setdefault(name, []).append(state)
+        for states in self.by_service.values():
+            near = [s for s in states if self.is_near(s.target)]
+            own = placing.own_part(
+                self.me.name, (s.target.identity for s in near)
+            )
+            for state in near:
+                state.own = state.target.identity in own
         return gone
 
     def _new_target(self, target: Target) -> TargetState:
