--- a/soak/callers.py
+++ b/soak/callers.py
@@ -44,7 +44,7 @@
                 await asyncio.sleep(PAUSE_S[1])
                 continue
             try:
-                while await self._ask(host, reader, writer):
+                while await self._ask(host, reader, writer):  # noqa: ASYNC110
                     await asyncio.sleep(self.rng.uniform(*PAUSE_S))
             finally:
                 writer.close()
@@ -70,7 +70,8 @@
             lines.append(f"Content-Length: {len(body)}")
         head = "\r\n".join(lines).encode() + b"\r\n\r\n"
         began = time.monotonic()
-        status, fields, answer = 0, {}, b""
+        status, answer = 0, b""
+        fields: dict[str, str] = {}
         try:
             async with asyncio.timeout(PATIENCE_S):
                 writer.write(head + body)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -140,7 +140,9 @@
 async def door(site: Site, for_s: float) -> None:
     """One host's way to the store is cut, slow or reset."""
     proxy = _a_host(site).door
-    proxy.set(site.rng.choice([link for link in Link if link is not Link.OPEN]))
+    proxy.set(
+        site.rng.choice([link for link in Link if link is not Link.OPEN])
+    )
     await asyncio.sleep(for_s)
     proxy.set(Link.OPEN)
 
@@ -149,7 +151,9 @@
 async def way(site: Site, for_s: float) -> None:
     """The way to one upstream is cut, slow or reset."""
     proxy = site.rng.choice(site.upstreams).proxy
-    proxy.set(site.rng.choice([link for link in Link if link is not Link.OPEN]))
+    proxy.set(
+        site.rng.choice([link for link in Link if link is not Link.OPEN])
+    )
     await asyncio.sleep(for_s)
     proxy.set(Link.OPEN)
 
--- a/soak/promises_test.py
+++ b/soak/promises_test.py
@@ -33,7 +33,7 @@
     def test_each_promise(self) -> None:
         get = replace(ASKED, method="GET")
         other = replace(KILL, host="other")
-        cases = (
+        cases: tuple[tuple[str, list[Run], Asked, list[Trouble]], ...] = (
             ("at most once", [RUN, RUN], ASKED, []),
             ("not run is true", [RUN], replace(ASKED, status=503), []),
             ("whole and", [RUN], replace(ASKED, body=b"who"), []),
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -10,7 +10,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-FOLDERS = ("wigeongw", "standins", "bench", "tools")
+FOLDERS = ("wigeongw", "standins", "bench", "tools", "soak")
 # No package: its name is a module of the standard library's.
 ADAPTER = ROOT / "platform"
 PREFIX = "test: "
--- a/wigeongw/adapters/load_header_test.py
+++ b/wigeongw/adapters/load_header_test.py
@@ -35,9 +35,7 @@
         )
         for headers, wanted in cases:
             with self.subTest(headers=headers):
-                found = read_load(
-                    COUNTING, headers, 1.0, True, AnswerTo.PROBE
-                )
+                found = read_load(COUNTING, headers, 1.0, True, AnswerTo.PROBE)
                 assert found is not None
                 self.assertEqual(
                     (
@@ -60,7 +58,7 @@
                 self.assertIsNone(found.cold_left_ms)
 
     def test_what_makes_no_sense_is_left_out(self) -> None:
-        cases = (
+        cases: tuple[dict[str, str], ...] = (
             {},
             {"load": ""},
             {"load": "1,2"},
@@ -69,9 +67,7 @@
         )
         for headers in cases:
             with self.subTest(headers=headers):
-                found = read_load(
-                    COUNTING, headers, 1.0, True, AnswerTo.PROBE
-                )
+                found = read_load(COUNTING, headers, 1.0, True, AnswerTo.PROBE)
                 self.assertIsNone(found)
 
 
--- a/wigeongw/adapters/sighting_codec.py
+++ b/wigeongw/adapters/sighting_codec.py
@@ -170,9 +170,7 @@
             at += SILENT.size
     except struct.error as error:
         raise SightingError(str(error)) from error
-    return Sightings(
-        tuple(seen), tuple(ended), tuple(sent), tuple(silent)
-    )
+    return Sightings(tuple(seen), tuple(ended), tuple(sent), tuple(silent))
 
 
 def _pack_seen(one: Seen) -> bytes:
--- a/wigeongw/commands/record_test.py
+++ b/wigeongw/commands/record_test.py
@@ -7,7 +7,7 @@
 
 class ParseTest(unittest.TestCase):
     def test_lines(self) -> None:
-        cases = (
+        cases: tuple[tuple[str, dict[str, str]], ...] = (
             ("route: at=5.0 id=a to=x", {"at": "5.0", "id": "a", "to": "x"}),
             ("refuse: at=5 id=a reason=all_full", {"reason": "all_full"}),
             ("again: at=5 id=a reason=over_budget", {"id": "a"}),
--- a/wigeongw/decisions/shares.py
+++ b/wigeongw/decisions/shares.py
@@ -62,6 +62,7 @@
         self.tokens -= 1.0
         return True
 
+
 def hosts_most(known: int) -> int:
     """Return how many hosts may be live when this many are known."""
     return max(1, math.ceil(known * (1.0 + SPARE_HOSTS_RATIO)))
--- a/wigeongw/gateway/borrower_test.py
+++ b/wigeongw/gateway/borrower_test.py
@@ -1,7 +1,9 @@
 """A host that starts while the store is away serves from a peer's view."""
 
 import asyncio
+from collections.abc import Callable
 from contextlib import AsyncExitStack
+import functools
 import os
 import random
 import unittest
@@ -27,6 +29,10 @@
 TARGET = Target("one", "s", "127.0.0.1:1", "amman", 4)
 
 
+def _is_ready(host: GatewayHost) -> bool:
+    return host.state.ready
+
+
 class Door:
     """One host's way to the store; while shut, calls hang or fail."""
 
@@ -55,7 +61,7 @@
         await self.store.withdraw(lease)
 
     async def _enter(self) -> None:
-        while self.shut == "silent":
+        while self.shut == "silent":  # noqa: ASYNC110
             await asyncio.sleep(0.05)
         if self.shut:
             raise CatalogError(self.shut)
@@ -99,8 +105,7 @@
         self.stack.push_async_callback(end)
         return host
 
-    async def until(self, holds: object) -> None:
-        assert callable(holds)
+    async def until(self, holds: Callable[[], bool]) -> None:
         async with asyncio.timeout(SOON_S):
             while not holds():  # noqa: ASYNC110
                 await asyncio.sleep(0.02)
@@ -114,7 +119,7 @@
         for shut in ("refused", "silent"):
             with self.subTest(shut=shut):
                 late, _ = self.start_late(shut)
-                await self.until(lambda host=late: host.state.ready)
+                await self.until(functools.partial(_is_ready, late))
                 self.assertEqual(set(late.state.targets), {"one"})
 
     async def test_it_follows_the_seed_until_it_reads_the_store(self) -> None:
@@ -123,9 +128,12 @@
         await self.store.publish(
             configuration(revision=2), ZoneEvacuated("amman")
         )
-        await self.until(
-            lambda: late.state.view.configuration.revision == 2  # type: ignore[union-attr]
-        )
+
+        def follows() -> bool:
+            configuration = late.state.view.configuration
+            return configuration is not None and configuration.revision == 2
+
+        await self.until(follows)
         self.assertEqual(late.state.view.evacuated, frozenset({"amman"}))
 
     async def test_what_the_seed_still_holds_goes_with_the_store(
--- a/wigeongw/gateway/follower.py
+++ b/wigeongw/gateway/follower.py
@@ -87,7 +87,10 @@
         position = reading.position
         if position > self.state.view.position:
             self.state.log.add(
-                "view", event="borrowed", position=position, age_ms=reading.age_ms
+                "view",
+                event="borrowed",
+                position=position,
+                age_ms=reading.age_ms,
             )
         self.fresh = True
         self._take(_stamped(view, position, now - reading.age_ms))
--- a/wigeongw/gateway/front.py
+++ b/wigeongw/gateway/front.py
@@ -195,9 +195,7 @@
         waited_ms = usual.waited_before(told_ms)
         usual.learn(told_ms)
         work = self.state.work_of(route, self.service)
-        return queueing.is_overdue(
-            waited_ms, route.objective_ms, work.mean_ms
-        )
+        return queueing.is_overdue(waited_ms, route.objective_ms, work.mean_ms)
 
     async def _while_client_stays(self, request: Request) -> Attempt:
         work = asyncio.create_task(self.front.forwarder.forward(request))
--- a/wigeongw/gateway/relay.py
+++ b/wigeongw/gateway/relay.py
@@ -31,6 +31,7 @@
 from wigeongw.gateway.state import HostState
 from wigeongw.ports.catalog import Catalog
 from wigeongw.ports.catalog import CatalogError
+from wigeongw.ports.catalog import Change
 from wigeongw.ports.catalog import Reading
 from wigeongw.ports.catalog import ZoneEvacuated
 
@@ -134,7 +135,7 @@
         if view.configuration is None:
             await answer(send, 503, JSON, "{}")
             return
-        known = (
+        known: tuple[Change, ...] = (
             view.configuration,
             *view.targets.values(),
             *view.hosts.values(),
--- a/wigeongw/model/play.py
+++ b/wigeongw/model/play.py
@@ -140,7 +140,6 @@
 
     def _look(self, number: int) -> None:
         request = self.requests[number]
-        load = self.load
         chosen = self.policy(self._asked(request))
         if chosen is not None:
             self.waiting[request.host] -= 1
