--- a/wigeongw/gateway/forwarder.py
+++ b/wigeongw/gateway/forwarder.py
@@ -26,7 +26,7 @@
 from wigeongw.gateway.placer import Wanted
 from wigeongw.gateway.sightings import SightingExchange
 from wigeongw.gateway.state import HostState
-from wigeongw.gateway.state import TargetState
+from wigeongw.gateway.target_state import TargetState
 from wigeongw.ports.dialect import AnswerTo
 from wigeongw.ports.dialect import Dialect
 
--- a/wigeongw/gateway/front.py
+++ b/wigeongw/gateway/front.py
@@ -1,9 +1,7 @@
 """The HTTP side towards clients: an ASGI application."""
 
 import asyncio
-from collections.abc import Mapping
 import contextlib
-from dataclasses import dataclass
 
 from wigeongw.adapters.http_server import TARGET
 from wigeongw.adapters.upstream_connection import Reply
@@ -23,20 +21,20 @@
 from wigeongw.gateway.own_answers import Receive
 from wigeongw.gateway.own_answers import Scope
 from wigeongw.gateway.own_answers import Send
+from wigeongw.gateway.request_head import Headers
+from wigeongw.gateway.request_head import read_head
+from wigeongw.gateway.request_head import RequestHead
+from wigeongw.gateway.request_head import tokens
 from wigeongw.gateway.state import HostState
 from wigeongw.ports.dialect import Dialect
 from wigeongw.ports.errors import BodyError
 
-Headers = list[tuple[bytes, bytes]]
-
 # For a request that names no deadline.
 DEADLINE_MS = 5_000.0
-DEADLINE_MOST_MS = 600_000.0
 NOT_CONFIGURED_MS = 200.0
 STOPPING_MS = 20.0
 # Time for an answer to reach its client before this host is killed.
 LAST_ANSWER_MS = 300.0
-DROPPED_FROM_CLIENT = HOP_BY_HOP | {"content-length"}
 CLOSE = (b"connection", b"close")
 
 
@@ -44,22 +42,6 @@
     """The client has closed its connection."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Fields:
-    """What a request's head says.
-
-    Attributes:
-        deadline_ms: what the caller gives it; None when it does not say.
-        length: of the body; None when it comes in chunks.
-    """
-
-    host: str
-    identity: str
-    deadline_ms: float | None
-    length: int | None
-    headers: tuple[tuple[bytes, bytes], ...]
-
-
 class Front:
     """Reads requests, has them forwarded, answers."""
 
@@ -96,7 +78,7 @@
             async with asyncio.timeout(seconds(max(0.0, left))):
                 await self.nobody.wait()
 
-    def find(self, fields: _Fields, path: str) -> Route:
+    def find(self, fields: RequestHead, path: str) -> Route:
         """Find the route of a request.
 
         Raises:
@@ -163,7 +145,11 @@
     # Reading
 
     async def _serve(self) -> Attempt:
-        fields = self._fields()
+        fields = read_head(
+            self.scope["headers"],
+            self.front.dialect.names,
+            self.front.limits(),
+        )
         self.identity = fields.identity or "-"
         path = self.scope["raw_path"].decode("latin-1")
         self.route = self.front.find(fields, path)
@@ -218,34 +204,7 @@
         while (await self.receive())["type"] != "http.disconnect":
             pass
 
-    def _fields(self) -> _Fields:
-        names = self.front.dialect.names
-        headers: Headers = self.scope["headers"]
-        values: dict[str, list[str]] = {}
-        for raw, value in headers:
-            name = raw.decode("latin-1")
-            values.setdefault(name, []).append(value.decode("latin-1"))
-        length = _length(values, self.front.limits().body_bytes)
-        named = _tokens(values.get("connection", []))
-        own = (names.deadline_ms, names.expected_instance)
-        dropped = DROPPED_FROM_CLIENT | named | set(own)
-        kept = tuple(
-            (name, value)
-            for name, value in headers
-            if name.decode("latin-1") not in dropped
-        )
-        hosts = values.get("host", [])
-        if len(hosts) != 1:
-            raise RequestError(400, "bad_host")
-        return _Fields(
-            hosts[0],
-            values.get(names.request_id, [""])[0],
-            _deadline(values.get(names.deadline_ms, [])),
-            length,
-            kept,
-        )
-
-    async def _body(self, fields: _Fields, ends_at: float) -> bytes:
+    async def _body(self, fields: RequestHead, ends_at: float) -> bytes:
         if fields.length == 0:
             return b""
         most = self.front.limits().body_bytes
@@ -326,7 +285,7 @@
         )
 
     def _answer_headers(self, reply: Reply) -> Headers:
-        named = _tokens(
+        named = tokens(
             [
                 value.decode("latin-1")
                 for name, value in reply.headers
@@ -402,39 +361,3 @@
             patience_ms=self.patience_ms,
             took_ms=took,
         )
-
-
-def _tokens(values: list[str]) -> set[str]:
-    return {
-        token.strip().lower() for value in values for token in value.split(",")
-    }
-
-
-def _length(values: Mapping[str, list[str]], most: int) -> int | None:
-    """Read how long a body is.
-
-    Raises:
-        RequestError: when the head contradicts itself or the body is too
-            large.
-    """
-    if "transfer-encoding" in values:
-        if "content-length" in values:
-            raise RequestError(400, "two_lengths")
-        return None
-    found = set(values.get("content-length", ["0"]))
-    text = next(iter(found))
-    if len(found) > 1 or not (text.isascii() and text.isdigit()):
-        raise RequestError(400, "bad_length")
-    if int(text) > most:
-        raise RequestError(413, "body_too_large")
-    return int(text)
-
-
-def _deadline(values: list[str]) -> float | None:
-    if not values:
-        return None
-    try:
-        found = float(values[0])
-    except ValueError:
-        return None
-    return found if 0 < found < DEADLINE_MOST_MS else None
--- a/wigeongw/gateway/placer.py
+++ b/wigeongw/gateway/placer.py
@@ -15,7 +15,7 @@
 from wigeongw.gateway.errors import RefusedError
 from wigeongw.gateway.prober import Prober
 from wigeongw.gateway.state import HostState
-from wigeongw.gateway.state import TargetState
+from wigeongw.gateway.target_state import TargetState
 
 # Upstreams asked in the first round, and in each further one.
 ROUND_FIRST = 3
--- a/wigeongw/gateway/prober.py
+++ b/wigeongw/gateway/prober.py
@@ -9,7 +9,7 @@
 from wigeongw.decisions import placing
 from wigeongw.gateway.sightings import SightingExchange
 from wigeongw.gateway.state import HostState
-from wigeongw.gateway.state import TargetState
+from wigeongw.gateway.target_state import TargetState
 from wigeongw.ports.dialect import AnswerTo
 from wigeongw.ports.dialect import Dialect
 
--- a/wigeongw/gateway/sightings.py
+++ b/wigeongw/gateway/sightings.py
@@ -25,7 +25,7 @@
 from wigeongw.core.addresses import split_address
 from wigeongw.core.clock import seconds
 from wigeongw.gateway.state import HostState
-from wigeongw.gateway.state import TargetState
+from wigeongw.gateway.target_state import TargetState
 
 # What is learned within this time travels together.
 GATHER_MS = 15.0
