--- a/soak/faults.py
+++ b/soak/faults.py
@@ -73,7 +73,6 @@
 async def stop(site: Site, for_s: float) -> None:
     """A host is asked to stop, does so in time, and starts again."""
     host = _a_host(site)
-    process = host.process
     host.signal(signal.SIGTERM)
     try:
         async with asyncio.timeout(GRACE_S + STOP_SLACK_S):
@@ -83,8 +82,7 @@
         if calm:
             site.seen.mistakes.append(f"{host.name}: did not stop in time")
         await host.end()
-    if host.process is process:
-        await host.start()
+    await host.start()
 
 
 @fault("reload", planned=True)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -95,6 +95,6 @@
 
 def _reset(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info("socket")
-    if sock is not None:
+    if sock is not None and not writer.is_closing():
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
     writer.transport.abort()
--- a/soak/site.py
+++ b/soak/site.py
@@ -57,6 +57,13 @@
         self.peer_port = int(free_address().rpartition(":")[2])
         self.door: Proxy
         self.process: asyncio.subprocess.Process | None = None
+        # Several faults may strike one host and each starts it again.
+        self.starting = asyncio.Lock()
+
+    @property
+    def runs(self) -> bool:
+        """Whether the process runs."""
+        return self.process is not None and self.process.returncode is None
 
     def write_settings(self, seeds: list[str]) -> None:
         """Write what the platform would."""
@@ -74,7 +81,12 @@
         self.settings.write_text(json.dumps(document), encoding="utf-8")
 
     async def start(self) -> None:
-        """Start the process."""
+        """Start the process unless it runs."""
+        async with self.starting:
+            if not self.runs:
+                await self._start()
+
+    async def _start(self) -> None:
         with self.output.open("ab") as output:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -90,7 +102,7 @@
 
     def signal(self, number: int) -> None:
         """Send a signal to the process if it runs."""
-        if self.process is not None and self.process.returncode is None:
+        if self.process is not None and self.runs:
             self.process.send_signal(number)
 
     def hears(self, number: int) -> bool:
@@ -99,7 +111,7 @@
         For some hundredths of a second the interpreter itself is loaded, and
         no program can ask it not to end.
         """
-        if self.process is None or self.process.returncode is not None:
+        if self.process is None or not self.runs:
             return False
         path = pathlib.Path(f"/proc/{self.process.pid}/status")
         lines = path.read_text(encoding="utf-8").splitlines()
