Shares follow the hosts, the configuration and the bounds; no upstream is refused at once

Cause: a host's parts of the probe and cold bounds were worked out when it learned of an upstream. At a start all hosts register at the same moment, so parts were cut for the few that had registered, or without the service's own rate, and stayed so: the sum over all hosts did not hold. They are dealt anew when hosts, services or bounds change, by the most hosts seen, and never give more than was left.

--- a/wigeongw/decisions/shares.py
+++ b/wigeongw/decisions/shares.py
@@ -62,6 +62,12 @@
         self.tokens -= 1.0
         return True
 
+    def dealt_anew(self, part: "Bucket") -> "Bucket":
+        """Return a new part that holds no more than this one has left."""
+        self.refill(part.at_ms)
+        part.tokens = min(self.tokens, part.most)
+        return part
+
 
 def hosts_most(known: int) -> int:
     """Return how many hosts may be live when this many are known."""
@@ -147,6 +153,12 @@
             self.earned = 0.0
         return True
 
+    def dealt_anew(self, part: "RetryShare") -> "RetryShare":
+        """Return a new part that holds no more than this one has left."""
+        part.bucket = self.bucket.dealt_anew(part.bucket)
+        part.earned, part.earned_at = self.earned, self.earned_at
+        return part
+
     def left(self, now: float) -> float:
         """Return how many further sends are paid for."""
         self._fade(now)
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -5,7 +5,6 @@
 from collections.abc import Coroutine
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
-from dataclasses import replace
 import random
 from typing import Any
 
@@ -111,8 +110,8 @@
 
     def take_bounds(self, bounds: Bounds) -> None:
         """Take over changed bounds."""
-        if bounds != self.state.me.bounds:
-            self.state.me = replace(self.state.me, bounds=bounds)
+        if bounds != self.state.bounds:
+            self.state.take_bounds(bounds)
             self.log.add("host", event="reload", bounds="changed")
             return
         self.log.add("host", event="reload", bounds="same")
--- a/wigeongw/gateway/placer.py
+++ b/wigeongw/gateway/placer.py
@@ -71,6 +71,8 @@
         Raises:
             RefusedError: when there is none in time.
         """
+        if not self.state.usable(wanted.service):
+            raise self._refusal(wanted, "no_upstream")
         queue = self.queues.setdefault(wanted.service, Queue())
         self.last_number += 1
         turn = Turn(
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -1,5 +1,7 @@
 """What the tasks of one host share: its view, its upstreams, its log."""
 
+from collections import Counter
+from dataclasses import replace
 import random
 
 from wigeongw.core.clock import Clock
@@ -18,6 +20,7 @@
 from wigeongw.decisions.routing import index_routes
 from wigeongw.decisions.routing import RouteIndex
 from wigeongw.decisions.routing import Split
+from wigeongw.decisions.shares import Bucket
 from wigeongw.decisions.shares import RetryShare
 from wigeongw.decisions.site_view import SiteView
 from wigeongw.gateway.decision_log import DecisionLog
@@ -51,6 +54,9 @@
         self.work: dict[tuple[str, str], Work] = {}
         self.patience: dict[str, TypicalPatience] = {}
         self.retries: dict[str, RetryShare] = {}
+        # The most hosts seen at a time, by availability zone.
+        self.hosts_most: Counter[str] = Counter()
+        self.shares_dealt_for: object = None
         self.stopping = False
         self.store_heard_ms = float("-inf")
 
@@ -72,13 +78,20 @@
         """
         old = self.view
         self.view = view
+        if view.hosts is not old.hosts:
+            self._take_hosts()
         if view.configuration is not old.configuration:
             self._take_configuration()
-        if view.targets is old.targets and (
-            view.configuration is old.configuration
-        ):
-            return []
-        return self._take_targets()
+        gone = []
+        if view.targets is not old.targets:
+            gone = self._take_targets()
+        self._deal_shares()
+        return gone
+
+    def take_bounds(self, bounds: Bounds) -> None:
+        """Take over changed bounds."""
+        self.me = replace(self.me, bounds=bounds)
+        self._deal_shares()
 
     def split(self, route: Route) -> Split:
         """Return how a route's requests are dealt."""
@@ -105,9 +118,7 @@
         """Return this host's part of a service's further sends."""
         found = self.retries.get(service)
         if found is None:
-            found = RetryShare(
-                self.bounds, len(self.view.hosts), self.clock.now()
-            )
+            found = self._new_retry_share()
             self.retries[service] = found
         return found
 
@@ -165,6 +176,11 @@
 
     # Inside
 
+    def _take_hosts(self) -> None:
+        zones = (h.availability_zone for h in self.view.hosts.values())
+        # Hosts that are away may be back before this host hears of it.
+        self.hosts_most |= Counter(zones)
+
     def _take_configuration(self) -> None:
         configuration = self.view.configuration
         assert configuration is not None
@@ -200,24 +216,50 @@
         return gone
 
     def _new_target(self, target: Target) -> TargetState:
-        now = self.clock.now()
-        hosts = len(self.view.hosts)
-        near = sum(
-            1
-            for host in self.view.hosts.values()
-            if host.availability_zone == target.availability_zone
-        )
-        service = self.service(target.service)
-        assumed = service or Service(target.service, "/", 1, 0.0, 1.0)
         return TargetState(
             target,
-            shares.probe_bucket(
-                self.bounds, near, hosts - near, self.is_near(target), now
-            ),
-            shares.cold_bucket(self.bounds, assumed, hosts, now, self.rng),
-            cold_until=now + target.cold_left_ms,
+            self._new_probe_share(target),
+            self._new_cold_share(target),
+            cold_until=self.clock.now() + target.cold_left_ms,
         )
 
+    # This host's parts of what holds over all hosts together
+
+    def _deal_shares(self) -> None:
+        """Work out all parts anew when what they rest on has changed."""
+        configuration = self.view.configuration
+        services = configuration.services if configuration else {}
+        basis = (self.bounds, dict(self.hosts_most), services)
+        if basis == self.shares_dealt_for:
+            return
+        self.shares_dealt_for = basis
+        for state in self.targets.values():
+            target = state.target
+            state.probes = state.probes.dealt_anew(
+                self._new_probe_share(target)
+            )
+            state.cold = state.cold.dealt_anew(self._new_cold_share(target))
+        for name, share in self.retries.items():
+            self.retries[name] = share.dealt_anew(self._new_retry_share())
+
+    def _new_probe_share(self, target: Target) -> Bucket:
+        near = self.hosts_most[target.availability_zone]
+        far = self.hosts_most.total() - near
+        return shares.probe_bucket(
+            self.bounds, near, far, self.is_near(target), self.clock.now()
+        )
+
+    def _new_cold_share(self, target: Target) -> Bucket:
+        service = self.service(target.service)
+        assumed = service or Service(target.service, "/", 1, 0.0, 1.0)
+        hosts = self.hosts_most.total()
+        now = self.clock.now()
+        return shares.cold_bucket(self.bounds, assumed, hosts, now, self.rng)
+
+    def _new_retry_share(self) -> RetryShare:
+        hosts = self.hosts_most.total()
+        return RetryShare(self.bounds, hosts, self.clock.now())
+
 
 def _is_another(held: Target, found: Target) -> bool:
     """Say whether an entry is of another start of its upstream."""
