The soak takes the platform's names from the adapter

Headers, keys, paths, the settings file and the words for an upstream's state stood a second time in soak/. They are taken from platform/clockworks now (dialect, documents, client_answers, program, examples), so nothing outside that folder names them. A parameter that was always false is gone. No check, bound or assertion changed; the product's code is untouched.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,9 +4,12 @@
 import random
 import time
 
+from clockworks.dialect import ClockworksDialect
 from soak.records import Asked
 from soak.records import Seen
+from wigeongw.core.clock import MS_PER_S
 
+NAMES = ClockworksDialect.names
 PATIENCE_S = 3.0
 CONNECT_S = 1.0
 PAUSE_S = (0.005, 0.08)
@@ -62,8 +65,8 @@
         lines = [
             f"{method} {target} HTTP/1.1",
             f"Host: {name}",
-            f"X-Request-Id: {identity}",
-            f"X-Deadline-Ms: {PATIENCE_S * 1000:.0f}",
+            f"{NAMES.request_id}: {identity}",
+            f"{NAMES.deadline_ms}: {PATIENCE_S * MS_PER_S:.0f}",
         ]
         body = BODY if method == "POST" else b""
         if body:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -106,10 +106,9 @@
 async def drain(site: Site, for_s: float) -> None:
     """An upstream leaves and comes back."""
     upstream = site.rng.choice(site.upstreams)
-    key = f"servers/{upstream.identity}"
-    await site.store.put(key, upstream.entry("draining"))
+    await site.publish(upstream, draining=True)
     await asyncio.sleep(for_s)
-    await site.store.put(key, upstream.entry())
+    await site.publish(upstream)
 
 
 @fault("store")
--- a/soak/play.py
+++ b/soak/play.py
@@ -73,7 +73,7 @@
 async def _check_well(site: Site) -> None:
     """Check that all hosts serve, and name each other and nobody else."""
     await site.until_ready()
-    fronts = {host.listen["front"] for host in site.hosts}
+    fronts = {host.me.front for host in site.hosts}
     for host in site.hosts:
         named = await site.addresses(host)
         if not named <= fronts or len(named) < min(2, len(fronts)):
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -4,11 +4,13 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 
+from clockworks.dialect import ClockworksDialect
 from soak.records import Asked
 from soak.records import Seen
 
 Promise = Callable[[Seen], Iterator[str]]
 PROMISES: dict[str, Promise] = {}
+SIGNATURE = ClockworksDialect.names.signature
 NOT_RUN = (408, 421, 429, 503)
 ATTEMPTS_MOST = 2
 # The longest route timeout of the configuration, with the slack that the
@@ -67,7 +69,7 @@
             continue
         if asked.body not in made.get(asked.identity, set()):
             yield f"{asked.identity} got a body that no upstream made for it"
-        if "x-response-signature" not in asked.fields:
+        if SIGNATURE not in asked.fields:
             yield f"{asked.identity} got a success without a signature"
 
 
@@ -94,7 +96,7 @@
     """An undisturbed host answers within the route's timeout."""
     for asked in seen.asked:
         took = asked.ended - asked.sent
-        if took > ANSWER_MOST_S and _is_calm(seen, asked, planned=False):
+        if took > ANSWER_MOST_S and _is_calm(seen, asked):
             yield f"{asked.identity} took {took:.2f} s at {asked.host}"
 
 
@@ -108,14 +110,14 @@
     ran = {run.identity for run in seen.runs}
     for asked in seen.asked:
         lost = not asked.status and asked.identity in ran
-        if lost and _is_calm(seen, asked, planned=False):
+        if lost and _is_calm(seen, asked):
             yield f"{asked.identity} was passed on and lost at {asked.host}"
 
 
-def _is_calm(seen: Seen, asked: Asked, planned: bool) -> bool:
+def _is_calm(seen: Seen, asked: Asked) -> bool:
     """Say whether nothing unplanned struck a request's host or its ways."""
     for trouble in seen.troubles:
-        if trouble.planned and not planned:
+        if trouble.planned:
             continue
         elsewhere = trouble.host not in ("", asked.host)
         if elsewhere:
--- a/soak/promises_test.py
+++ b/soak/promises_test.py
@@ -9,7 +9,7 @@
 from soak.records import Seen
 from soak.records import Trouble
 
-SIGNED = {"x-response-signature": "s"}
+SIGNED = {promises.SIGNATURE: "s"}
 RUN = Run("a-1", "u", "desk", "/adjust/strike", b"whole", 10.0)
 ASKED = Asked(
     "a-1", "h", "POST", "/adjust/strike", 10.0, 10.1, 200, SIGNED, b"whole"
--- a/soak/site.py
+++ b/soak/site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import AsyncExitStack
+from dataclasses import replace
 import json
 import os
 import pathlib
@@ -15,12 +16,19 @@
 
 import aiohttp
 
+from clockworks import documents
 from clockworks import examples
+from clockworks import program
+from clockworks.client_answers import READY_PATH
+from clockworks.client_answers import RESOLVE_PATH
 from clockworks.store_stand_in import StoreStandIn
 from soak.callers import Caller
 from soak.proxy import Proxy
 from soak.records import Seen
 from soak.upstreams import SoakUpstream
+from wigeongw.core.clock import MS_PER_S
+from wigeongw.core.site import Bounds
+from wigeongw.core.site import HostIdentity
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 START = ROOT / "platform" / "start.py"
@@ -30,7 +38,6 @@
 CALLERS = 10
 GRACE_S = 3.0
 READY_WITHIN_S = 10.0
-CONFIGURATION = "op/config"
 # Below the range of ports for outgoing connections.
 OWN_PORTS = (12_000, 30_000)
 # Signals that a process ignores and handles.
@@ -57,14 +64,18 @@
 
     def __init__(self, name: str, zone: str, folder: pathlib.Path) -> None:
         self.name = name
-        self.zone = zone
+        self.me = HostIdentity(
+            name,
+            zone,
+            front=free_address(),
+            readiness=free_address(),
+            directory=free_address(),
+            peer=free_address(),
+            contact=free_address(),
+            bounds=Bounds(grace_ms=GRACE_S * MS_PER_S),
+        )
         self.settings = folder / f"{name}.json"
         self.output = folder / f"{name}.log"
-        self.listen = {
-            role: free_address()
-            for role in ("front", "ready", "directory", "control")
-        }
-        self.peer_port = int(free_address().rpartition(":")[2])
         self.door: Proxy
         self.process: asyncio.subprocess.Process | None = None
         # Several faults may strike one host and each starts it again.
@@ -75,19 +86,11 @@
         """Whether the process runs."""
         return self.process is not None and self.process.returncode is None
 
-    def write_settings(self, seeds: list[str]) -> None:
+    def write_settings(self, seeds: tuple[str, ...]) -> None:
         """Write what the platform would."""
-        document = examples.settings()
-        document.update(
-            nodeName=self.name,
-            zone=self.zone,
-            ip="127.0.0.1",
-            internalPorts=[self.peer_port, self.peer_port],
-            listen=self.listen,
-            seeds=seeds,
+        document = examples.settings_of(
+            replace(self.me, seeds=seeds), self.door.address
         )
-        document["bounds"]["graceS"] = GRACE_S
-        document["platform"]["address"] = self.door.address
         self.settings.write_text(json.dumps(document), encoding="utf-8")
 
     async def start(self) -> None:
@@ -103,7 +106,7 @@
                 str(START),
                 env={
                     **os.environ,
-                    "WIGEONGW_BOOT": str(self.settings),
+                    program.SETTINGS_VARIABLE: str(self.settings),
                     "PYTHONPATH": str(ROOT),
                 },
                 stdout=output,
@@ -177,10 +180,9 @@
         self.stack.callback(expiring.cancel)
         for upstream in self.upstreams:
             await upstream.start(self.stack)
-            key = f"servers/{upstream.identity}"
-            await self.store.put(key, upstream.entry())
+            await self.publish(upstream)
         await self.configure()
-        seeds = [host.listen["control"] for host in self.hosts[:2]]
+        seeds = tuple(host.me.contact for host in self.hosts[:2])
         for host in self.hosts:
             host.door = Proxy(self.store.address)
             await host.door.start(self.stack)
@@ -188,7 +190,7 @@
             await host.start()
             self.stack.push_async_callback(host.end)
         await self.until_ready()
-        fronts = {host.name: host.listen["front"] for host in self.hosts}
+        fronts = {host.name: host.me.front for host in self.hosts}
         for number in range(CALLERS):
             caller = Caller(
                 f"c{number}", fronts, self.seen, self.seed * 100 + number
@@ -200,10 +202,15 @@
     async def configure(self) -> None:
         """Publish the next version of the configuration."""
         self.version += 1
-        document = examples.configuration(self.version)
-        document["routes"]["r-split"].pop("trafficSplit")
-        document["routes"]["r-split"]["service"] = "dial"
-        await self.store.put(CONFIGURATION, document)
+        document = examples.plain_configuration(self.version)
+        await self.store.put(documents.CONFIGURATION_KEY, document)
+
+    async def publish(
+        self, upstream: SoakUpstream, draining: bool = False
+    ) -> None:
+        """Write an upstream's entry to the store."""
+        key = documents.TARGET_PREFIX + upstream.identity
+        await self.store.put(key, upstream.entry(draining))
 
     async def until_ready(self) -> None:
         """Wait until every host is ready; note those that are not."""
@@ -218,7 +225,8 @@
 
     async def addresses(self, host: SoakHost) -> set[str]:
         """Ask a host which addresses callers should use."""
-        url = f"http://{host.listen['directory']}/resolve?name=a.example"
+        asked = f"{RESOLVE_PATH}?name=a.example"
+        url = f"http://{host.me.directory}{asked}"
         try:
             async with aiohttp.ClientSession() as session:
                 async with session.get(url) as response:
@@ -226,14 +234,14 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             self.seen.mistakes.append(f"{host.name}: no answer: {error!r}")
             return set()
-        return set(found.get("addrs", []))
+        return examples.named_addresses(found)
 
     async def _is_ready(
         self, session: aiohttp.ClientSession, host: SoakHost
     ) -> bool:
         try:
             async with asyncio.timeout(1.0):
-                url = f"http://{host.listen['ready']}/ready"
+                url = f"http://{host.me.readiness}{READY_PATH}"
                 async with session.get(url) as response:
                     return response.status == 200
         except (aiohttp.ClientError, OSError, TimeoutError):
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -8,6 +8,8 @@
 from typing import Any
 
 from clockworks import examples
+from clockworks.dialect import ClockworksDialect
+from clockworks.dialect import LOAD_FORMAT
 from soak.proxy import Proxy
 from soak.records import Run
 from soak.records import Seen
@@ -15,6 +17,8 @@
 from standins.scripted import ScriptedUpstream
 from standins.scripted import text
 
+NAMES = ClockworksDialect.names
+SIGNED = f"{NAMES.signature}: soak"
 WORK_S = 0.03
 SLOTS = 4
 HEALTH_PATH = "/health"
@@ -60,32 +64,32 @@
         self.proxy = Proxy(self.server.address)
         await self.proxy.start(stack)
 
-    def entry(self, state: str = "ready") -> dict[str, Any]:
+    def entry(self, draining: bool = False) -> dict[str, Any]:
         """Return what stands in the store."""
         return examples.entry(
             service=self.service,
             zone=self.zone,
             address=self.proxy.address,
-            state=state,
+            state=examples.state(draining),
         )
 
     async def _answer(
         self, heard: Heard, writer: asyncio.StreamWriter
     ) -> None:
-        load = f"X-Instance-Load: {self.running},0,{SLOTS},100"
+        load = f"{LOAD_FORMAT.load}: {self.running},0,{SLOTS},100"
+        named = f"{NAMES.instance}: {self.identity}"
         if heard.target == HEALTH_PATH:
-            named = f"X-Instance-Id: {self.identity}"
             writer.write(text(200, b"", named, load))
             return
-        identity = heard.headers.get("x-request-id", "")
-        echo = f"X-Request-Id: {identity}"
-        wanted = heard.headers.get("x-target-instance", self.identity)
+        identity = heard.headers.get(NAMES.request_id, "")
+        echo = f"{NAMES.request_id}: {identity}"
+        wanted = heard.headers.get(NAMES.expected_instance, self.identity)
         if wanted != self.identity:
-            named = f"X-Instance-Id: {self.identity}"
             writer.write(text(421, b"", echo, named))
             return
         if self.habit is Habit.SHEDDING or self.running >= 2 * SLOTS:
-            writer.write(text(503, b"", echo, "X-Not-Executed: full", load))
+            not_run = f"{NAMES.not_run}: full"
+            writer.write(text(503, b"", echo, not_run, load))
             return
         await self._run(heard, identity, writer, [echo, load])
 
@@ -119,11 +123,11 @@
         if habit is Habit.LOSING:
             writer.close()
             return
-        answer = text(200, body, *lines, "X-Response-Signature: soak")
+        answer = text(200, body, *lines, SIGNED)
         if habit is Habit.CUT_SHORT:
             writer.write(answer[:-1])
             writer.close()
             return
         writer.write(answer)
         if habit is Habit.EXTRA:
-            writer.write(text(200, b"nobody asked", "X-Response-Signature: x"))
+            writer.write(text(200, b"nobody asked", SIGNED))
