A host that the store refuses keeps learning changes from others

Such a host cannot renew its lease, so its entry goes, and a host without an entry asked no relay: front-amman-20 learned nothing from 8.1 s to 11.9 s, front-irbid-36, itself a relay, nothing from 2.6 s to 11.5 s, while a version was acknowledged at 7.2 s. Clients still hold these addresses.

Change: a host without an entry asks its relay too; a host whose relay and store both fail (a relay that is turned away) asks the other relays and two further hosts. A relay no longer holds a request open until its own age is just past the limit that the asking host rejects (seen: 1,051 ms of 1,050).

The log now starts anew where it has a gap.

Ruled out: hosts that looked 10 s late in the view lines; their lines were cut by the log collector, their requests were answered under the new version.

--- /dev/null
+++ b/wigeongw/gateway/change_log.py
@@ -0,0 +1,90 @@
+"""Recent changes of the store, kept by a relay for other hosts."""
+
+import asyncio
+from collections import deque
+from typing import Any
+
+from wigeongw.adapters import change_codec
+from wigeongw.core.clock import seconds
+from wigeongw.ports.catalog import ChangeBatch
+
+# Changes that are kept for hosts whose position is behind.
+MAX_KEPT_CHANGES = 2_000
+
+
+class ChangeLog:
+    """The recent changes that this host read, kept for other hosts.
+
+    Only reads and watches of the store itself enter the log. While the host
+    learns changes from a relay, the log falls behind the host's view.
+
+    Attributes:
+        changes: store position and encoded change, in order.
+        first_position: position after which no change is missing; -1 at first.
+        last_position: the latest position read; -1 at first.
+        changed: set, and then replaced, when there are new changes.
+    """
+
+    def __init__(self) -> None:
+        self.changes: deque[tuple[int, dict[str, Any]]] = deque(
+            maxlen=MAX_KEPT_CHANGES
+        )
+        self.first_position = -1
+        self.last_position = -1
+        self.changed = asyncio.Event()
+
+    def restart(self, position: int) -> None:
+        """Reset the log to the position of a full read."""
+        self.changes.clear()
+        self.first_position = self.last_position = position
+        self._notify()
+
+    def add(self, batch: ChangeBatch, since: int) -> None:
+        """Append the changes that a watch returned.
+
+        Args:
+            batch: the changes.
+            since: the position that the watch started from. Changes between
+                the end of the log and this position were never read from the
+                store, so the log starts anew there.
+        """
+        kept = len(self.changes) + len(batch.changes)
+        if since > self.last_position or kept > MAX_KEPT_CHANGES:
+            self.changes.clear()
+            self.first_position = since
+        if len(batch.changes) > MAX_KEPT_CHANGES:
+            self.restart(batch.position)
+            return
+        for change in batch.changes:
+            encoded = change_codec.encode(change)
+            self.changes.append((batch.position, encoded))
+        self.last_position = max(self.last_position, batch.position)
+        if batch.changes:
+            self._notify()
+
+    def changes_since(self, position: int) -> list[dict[str, Any]] | None:
+        """Return the changes after a position.
+
+        Returns:
+            None when the log no longer holds all of them.
+        """
+        if position < self.first_position or self.first_position < 0:
+            return None
+        return [
+            change
+            for changed_at, change in self.changes
+            if changed_at > position
+        ]
+
+    async def wait(self, position: int, wait_ms: float) -> None:
+        """Wait for a change after a position, at most for a given time."""
+        try:
+            async with asyncio.timeout(seconds(max(0.0, wait_ms))):
+                while self.changes_since(position) == []:
+                    await self.changed.wait()
+        except TimeoutError:
+            return
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -21,6 +21,7 @@
 from wigeongw.gateway.asgi import MetricsApp
 from wigeongw.gateway.asgi import PortRouter
 from wigeongw.gateway.borrower import Borrower
+from wigeongw.gateway.change_log import ChangeLog
 from wigeongw.gateway.decision_log import DecisionLog
 from wigeongw.gateway.follower import Follower
 from wigeongw.gateway.forwarder import Forwarder
@@ -29,7 +30,6 @@
 from wigeongw.gateway.prober import Prober
 from wigeongw.gateway.proxy_app import ProxyApp
 from wigeongw.gateway.registrar import Registrar
-from wigeongw.gateway.relay import ChangeLog
 from wigeongw.gateway.relay import RelayApp
 from wigeongw.gateway.relay import RelayedCatalog
 from wigeongw.gateway.state import GatewayState
--- a/wigeongw/gateway/relay.py
+++ b/wigeongw/gateway/relay.py
@@ -7,8 +7,8 @@
 """
 
 import asyncio
-from collections import deque
 from collections.abc import Awaitable
+from collections.abc import Iterable
 import json
 from typing import Any
 from typing import TypeVar
@@ -28,11 +28,13 @@
 from wigeongw.gateway.asgi import Send
 from wigeongw.gateway.asgi import send_bytes
 from wigeongw.gateway.asgi import send_text
+from wigeongw.gateway.change_log import ChangeLog
 from wigeongw.gateway.state import GatewayState
 from wigeongw.ports.catalog import Catalog
 from wigeongw.ports.catalog import CatalogError
 from wigeongw.ports.catalog import Change
 from wigeongw.ports.catalog import ChangeBatch
+from wigeongw.ports.catalog import HistoryLostError
 from wigeongw.ports.catalog import ZoneEvacuated
 
 T = TypeVar("T")
@@ -41,8 +43,6 @@
 # The whole view of a host, for a host that cannot read the store.
 STATE_PATH = "/state"
 JSON = "application/json"
-# Changes that a relay keeps for hosts whose position is behind.
-MAX_KEPT_CHANGES = 2_000
 # Responses of this size or more are compressed: a configuration goes to many
 # hosts over one link at the same time.
 MIN_COMPRESSED_BYTES = 1_000
@@ -54,6 +54,15 @@
 # A relay that got no response from the store for this long is not used. The
 # limit exceeds the sum of a relay's own watch pause and watch timeout.
 MAX_RELAY_AGE_MS = 1_050.0
+# A relay holds a request open until its age reaches that limit. Its response
+# then takes up to this time to reach the host that asked.
+RELAY_DELIVERY_MS = 50.0
+# How long a relay holds a request open at least, so that hosts do not ask in
+# a tight loop while its age is near the limit.
+MIN_RELAY_LONG_POLL_MS = 25.0
+# The limit for a host that the store refuses. It covers the pause between two
+# watches of a host that is not a relay.
+MAX_SUBSTITUTE_AGE_MS = 3_000.0
 # Time that the store may take beyond a watch's own timeout. After it the
 # hanging connection is replaced by a new one.
 STORE_WATCH_MARGIN_MS = 600.0
@@ -63,70 +72,6 @@
 RELAY_BACKOFF_MS = 2_000.0
 
 
-class ChangeLog:
-    """The recent changes that this host read, kept for other hosts.
-
-    Attributes:
-        changes: store position and encoded change, in order.
-        first_position: position after which no change is missing; -1 at first.
-        last_position: the latest position read; -1 at first.
-        changed: set, and then replaced, when there are new changes.
-    """
-
-    def __init__(self) -> None:
-        self.changes: deque[tuple[int, dict[str, Any]]] = deque(
-            maxlen=MAX_KEPT_CHANGES
-        )
-        self.first_position = -1
-        self.last_position = -1
-        self.changed = asyncio.Event()
-
-    def restart(self, position: int) -> None:
-        """Reset the log to the position of a full read."""
-        self.changes.clear()
-        self.first_position = self.last_position = position
-        self._notify()
-
-    def add(self, batch: ChangeBatch) -> None:
-        """Append the changes that a watch returned."""
-        if len(self.changes) + len(batch.changes) >= MAX_KEPT_CHANGES:
-            self.changes.clear()
-            self.first_position = self.last_position
-        for change in batch.changes:
-            encoded = change_codec.encode(change)
-            self.changes.append((batch.position, encoded))
-        self.last_position = max(self.last_position, batch.position)
-        if batch.changes:
-            self._notify()
-
-    def changes_since(self, position: int) -> list[dict[str, Any]] | None:
-        """Return the changes after a position.
-
-        Returns:
-            None when the log no longer holds all of them.
-        """
-        if position < self.first_position or self.first_position < 0:
-            return None
-        return [
-            change
-            for changed_at, change in self.changes
-            if changed_at > position
-        ]
-
-    async def wait(self, position: int, wait_ms: float) -> None:
-        """Wait for a change after a position, at most for a given time."""
-        try:
-            async with asyncio.timeout(seconds(max(0.0, wait_ms))):
-                while self.changes_since(position) == []:
-                    await self.changed.wait()
-        except TimeoutError:
-            return
-
-    def _notify(self) -> None:
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-
 class RelayApp:
     """Serves this host's view and its recent changes to other hosts."""
 
@@ -168,9 +113,10 @@
             await send_text(send, 400, JSON, "{}")
             return
         trusted_ms = MAX_RELAY_AGE_MS - self._store_age_ms()
-        await self.change_log.wait(
-            position, min(RELAY_LONG_POLL_MS, trusted_ms)
+        wait_ms = max(
+            MIN_RELAY_LONG_POLL_MS, min(RELAY_LONG_POLL_MS, trusted_ms)
         )
+        await self.change_log.wait(position, wait_ms)
         changes = self.change_log.changes_since(position)
         if changes is None or self.state.stopping:
             await send_text(send, 410, JSON, "{}")
@@ -230,28 +176,27 @@
     async def watch(self, position: int, wait_ms: float) -> ChangeBatch:
         """Watch through a relay, or at the store without a usable relay.
 
+        The store may refuse this host and serve others. Other hosts are then
+        asked for what they learned.
+
         Raises:
-            CatalogError: when the store does not answer in time.
+            CatalogError: when neither the store nor another host answers.
+            HistoryLostError: when the store compacted the position.
         """
         for relay in self._relays_to_ask():
-            batch = await self._watch_relay(relay, position)
+            limit_ms = MAX_RELAY_AGE_MS + RELAY_DELIVERY_MS
+            batch = await self._watch_relay(relay, position, limit_ms)
             if batch is not None:
                 return batch
         try:
-            async with asyncio.timeout(
-                seconds(wait_ms + STORE_WATCH_MARGIN_MS)
-            ):
-                batch = await self._timed(
-                    "watch", self.store.watch(position, wait_ms)
-                )
-        except TimeoutError as error:
-            raise CatalogError(
-                "store watch not answered within "
-                f"{wait_ms + STORE_WATCH_MARGIN_MS:.0f} ms"
-            ) from error
-        self.state.store_answered_at = self.state.clock.now()
-        self.change_log.add(batch)
-        return batch
+            return await self._watch_store(position, wait_ms)
+        except HistoryLostError:
+            raise
+        except CatalogError:
+            batch = await self._watch_substitutes(position)
+            if batch is None:
+                raise
+            return batch
 
     async def register(self, host: Host, lifetime_ms: float) -> int:
         """Write a host's entry to the store and return its lease."""
@@ -286,28 +231,70 @@
             metrics.count("store_calls_total", operation, outcome)
             metrics.time(elapsed_ms, "store_call_ms", operation, outcome)
 
+    async def _watch_store(self, position: int, wait_ms: float) -> ChangeBatch:
+        limit_ms = wait_ms + STORE_WATCH_MARGIN_MS
+        try:
+            async with asyncio.timeout(seconds(limit_ms)):
+                batch = await self._timed(
+                    "watch", self.store.watch(position, wait_ms)
+                )
+        except TimeoutError as error:
+            raise CatalogError(
+                f"store watch not answered within {limit_ms:.0f} ms"
+            ) from error
+        self.state.store_answered_at = self.state.clock.now()
+        self.change_log.add(batch, position)
+        return batch
+
+    async def _watch_substitutes(self, position: int) -> ChangeBatch | None:
+        hosts = self.state.view.hosts
+        own_name = self.state.host_config.name
+        names = relay_selection.substitutes(hosts, own_name)
+        for host in self._usable(names):
+            batch = await self._watch_relay(
+                host, position, MAX_SUBSTITUTE_AGE_MS
+            )
+            if batch is not None:
+                return batch
+        return None
+
     def _relays_to_ask(self) -> list[Host]:
         """Return the relay to ask, or nothing when this host is a relay.
 
         At most one relay is returned: after its failure the store is asked,
         because each further relay might take as long to fail.
         """
-        hosts = self.state.view.hosts
-        names = relay_selection.relays(hosts)
+        names = relay_selection.relays(self.state.view.hosts)
         own_name = self.state.host_config.name
-        if own_name in names or own_name not in hosts:
+        if own_name in names:
             return []
-        now = self.state.clock.now()
         ordered = rank_by_rendezvous(own_name, names, len(names))
+        return self._usable(ordered)[:1]
+
+    def _usable(self, names: Iterable[str]) -> list[Host]:
+        """Return the named hosts that may be asked now."""
+        now = self.state.clock.now()
+        hosts = (self.state.view.hosts[name] for name in names)
         return [
-            hosts[name]
-            for name in ordered
-            if self.backoff_until.get(name, now) <= now and hosts[name].peer
-        ][:1]
+            host
+            for host in hosts
+            if host.peer and self.backoff_until.get(host.name, now) <= now
+        ]
 
     async def _watch_relay(
-        self, relay: Host, position: int
+        self, relay: Host, position: int, max_age_ms: float
     ) -> ChangeBatch | None:
+        """Ask another host for changes.
+
+        Args:
+            relay: the host to ask.
+            position: position after which changes are wanted.
+            max_age_ms: limit for the time since the store answered it.
+
+        Returns:
+            The changes; None when the host has none that can be used. It is
+            then not asked again for a while.
+        """
         url = f"http://{relay.peer}{CHANGES_PATH}"
         try:
             async with asyncio.timeout(seconds(RELAY_RESPONSE_TIMEOUT_MS)):
@@ -322,11 +309,10 @@
                     "expected 200"
                 )
             batch = decode_batch(raw)
-            if batch.age_ms > MAX_RELAY_AGE_MS:
+            if batch.age_ms > max_age_ms:
                 raise CatalogError(
                     f"relay {relay.name} last reached the store "
-                    f"{batch.age_ms:.0f} ms ago, "
-                    f"limit {MAX_RELAY_AGE_MS:.0f} ms"
+                    f"{batch.age_ms:.0f} ms ago, limit {max_age_ms:.0f} ms"
                 )
             return batch
         except (
--- a/wigeongw/gateway/relay_test.py
+++ b/wigeongw/gateway/relay_test.py
@@ -11,6 +11,7 @@
 from wigeongw.adapters.memory_catalog import MemoryCatalog
 from wigeongw.adapters.native_dialect import NativeDialect
 from wigeongw.core.clock import Clock
+from wigeongw.core.site import Host
 from wigeongw.core.site import HostConfig
 from wigeongw.decisions import relay_selection
 from wigeongw.gateway.host import GatewayHost
@@ -19,6 +20,7 @@
 from wigeongw.gateway.host_case import free_port
 from wigeongw.ports.catalog import CatalogError
 from wigeongw.ports.catalog import ChangeBatch
+from wigeongw.ports.catalog import HostGone
 from wigeongw.ports.catalog import ZoneEvacuated
 
 NAMES = ("a", "b", "c", "d", "e")
@@ -50,6 +52,14 @@
         await self._apply_partition()
         return await self.store.read(fresh)
 
+    async def register(self, host: Host, lifetime_ms: float) -> int:
+        await self._apply_partition()
+        return await self.store.register(host, lifetime_ms)
+
+    async def renew(self, lease: int) -> None:
+        await self._apply_partition()
+        await self.store.renew(lease)
+
     def __getattr__(self, name: str) -> object:
         return getattr(self.store, name)
 
@@ -172,6 +182,33 @@
         self.catalogs[partitioned].is_partitioned = True
         await self.assert_change_propagates([partitioned])
 
+    async def test_host_whose_lease_expired_learns_changes_from_relays(
+        self,
+    ) -> None:
+        """The store refuses one host until the host's entry is gone.
+
+        The host cannot register again, but clients still hold its address,
+        so it must keep up with the configuration.
+        """
+        partitioned = self.others[0]
+        self.catalogs[partitioned].is_partitioned = True
+        await self.store.publish(HostGone(partitioned))
+        view_without_entry = 0.0
+        while partitioned in self.hosts[partitioned].state.view.hosts:
+            await asyncio.sleep(0.05)
+            view_without_entry += 0.05
+            self.assertLess(view_without_entry, 5.0)
+        await self.assert_change_propagates([partitioned])
+
+    async def test_partitioned_relay_learns_changes_from_other_hosts(
+        self,
+    ) -> None:
+        """The store refuses the only relay and serves all other hosts."""
+        relay = self.relays[0]
+        self.catalogs[relay].is_partitioned = True
+        await asyncio.sleep(4.0)
+        await self.assert_change_propagates([relay, *self.others])
+
 
 if __name__ == "__main__":
     unittest.main()
