Upstreams with two slots are used to the end; slots are counted whole

Change: the number of requests ahead is rounded before it is compared with whole slots. The slots above the knee are used when no upstream has room below it, if the sample is fresh, the request is on time there, and an upstream completes more with all slots in use (two at 1/1.7 against one; not four against three). The refuse line says of each upstream why it was not chosen.

--- a/wigeongw/decisions/placement.py
+++ b/wigeongw/decisions/placement.py
@@ -16,6 +16,8 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 from dataclasses import dataclass
+from enum import Enum
+from operator import attrgetter
 import random
 
 from wigeongw.core.identifiers import rank_by_rendezvous
@@ -66,6 +68,18 @@
 OUTSIDE_SUBSET_PENALTY_MS = 4.0
 
 
+class Unavailability(Enum):
+    """Why an upstream cannot take a request; NONE when it can."""
+
+    SILENT = "silent"
+    COLD = "cold"
+    MAYBE_COLD = "maybe_cold"
+    FULL = "full"
+    SLOW = "slow"
+    ABOVE_KNEE = "above_knee"
+    NONE = "free"
+
+
 @dataclass(frozen=True, slots=True)
 class Candidate:
     """State of an upstream, as known to this host when a request is placed.
@@ -109,6 +123,8 @@
             location of the upstream.
         doubtful: whether the upstream is warming up or not known to be warm.
         fresh: whether the estimate is based on a fresh load sample.
+        above_knee: whether the request takes one of the last slots, which
+            slow down the upstream.
     """
 
     target: Target
@@ -116,6 +132,7 @@
     score_ms: float
     doubtful: bool
     fresh: bool
+    above_knee: bool = False
 
 
 def estimate_ms(
@@ -185,10 +202,19 @@
     now: float,
     max_slot_share: float = KNEE_SHARE,
 ) -> bool:
-    """Return whether one more request would exceed a share of the slots."""
-    slots = slot_count(candidate)
-    ahead = requests_ahead(candidate, utilization, now)
-    return ahead + 1 > max(1.0, max_slot_share * slots)
+    """Return whether one more request would exceed a share of the slots.
+
+    The number of requests ahead is an estimate with a fraction, while slots
+    are whole: it is rounded, so that an upstream whose sample is a few
+    milliseconds old still counts as idle.
+    """
+    allowed = slots_below(slot_count(candidate), max_slot_share)
+    return round(requests_ahead(candidate, utilization, now)) >= allowed
+
+
+def slots_below(slots: int, share: float) -> int:
+    """Return how many whole slots a share of the slots allows, at least 1."""
+    return max(1, int(share * slots))
 
 
 def choose(
@@ -203,6 +229,10 @@
 ) -> Placement | None:
     """Select the upstream for a request.
 
+    The last slots of an upstream, above its knee, are used only when no
+    upstream has room below, and only where that increases what an upstream
+    completes.
+
     Args:
         candidates: the upstreams that the request may be sent to.
         work_ms: service time of the request on an upstream of normal speed.
@@ -212,40 +242,66 @@
         rng: breaks ties.
         skip_slow: whether to skip upstreams that are slow now.
         max_slot_share: the share of the slots of an upstream that may be in
-            use.
+            use. Below KNEE_SHARE, no slot above the knee is used.
 
     Returns:
         The placement, or None when every upstream is full, over its cold
         start rate limit or too slow.
     """
-    best: Placement | None = None
+    below_knee: list[Placement] = []
+    above_knee: list[Placement] = []
     best_in_zone: Placement | None = None
     for candidate in exclude_silent(candidates):
-        rate_limited = candidate.doubtful and not candidate.has_cold_token
-        if rate_limited or is_full(
-            candidate, utilization, now, max_slot_share
-        ):
+        if candidate.doubtful and not candidate.has_cold_token:
             continue
         if skip_slow and expected_slowdown(candidate, now) > MAX_SLOWDOWN:
             continue
         expected = estimate_ms(candidate, work_ms, utilization, now)
-        score = _score(candidate, expected, objective_ms, rng)
         placement = Placement(
             candidate.target,
             expected,
-            score,
+            _score(candidate, expected, objective_ms, rng),
             candidate.doubtful,
             is_fresh(candidate.sample, now),
+            is_full(candidate, utilization, now, max_slot_share),
         )
-        if best is None or score < best.score_ms:
-            best = placement
+        if placement.above_knee:
+            if max_slot_share >= KNEE_SHARE and _may_use_last_slot(
+                candidate, placement, objective_ms, utilization, now
+            ):
+                above_knee.append(placement)
+            continue
+        below_knee.append(placement)
         if candidate.same_zone and (
-            best_in_zone is None or score < best_in_zone.score_ms
+            best_in_zone is None or placement.score_ms < best_in_zone.score_ms
         ):
             best_in_zone = placement
     if best_in_zone is not None and is_good_enough(best_in_zone, objective_ms):
         return best_in_zone
-    return best
+    return min(
+        below_knee or above_knee, key=attrgetter("score_ms"), default=None
+    )
+
+
+def unavailability(
+    candidate: Candidate, utilization: float, now: float
+) -> Unavailability:
+    """Return why an upstream would not be chosen now, for the log."""
+    if candidate.silent:
+        return Unavailability.SILENT
+    if candidate.doubtful and not candidate.has_cold_token:
+        return (
+            Unavailability.COLD
+            if candidate.cold
+            else Unavailability.MAYBE_COLD
+        )
+    if is_full(candidate, utilization, now, max_slot_share=1.0):
+        return Unavailability.FULL
+    if expected_slowdown(candidate, now) > MAX_SLOWDOWN:
+        return Unavailability.SLOW
+    if is_full(candidate, utilization, now):
+        return Unavailability.ABOVE_KNEE
+    return Unavailability.NONE
 
 
 def choose_subset(
@@ -274,7 +330,10 @@
 
 def is_good_enough(placement: Placement, objective_ms: float) -> bool:
     """Return whether a placement meets the objective with a safety margin."""
-    return placement.score_ms <= SAFE_OBJECTIVE_SHARE * objective_ms
+    return (
+        not placement.above_knee
+        and placement.score_ms <= SAFE_OBJECTIVE_SHARE * objective_ms
+    )
 
 
 def is_fresh(sample: LoadSample | None, now: float) -> bool:
@@ -309,6 +368,35 @@
     return sorted(eligible, key=rank)
 
 
+def _completes_more_above_knee(slots: int) -> bool:
+    """Return whether an upstream completes more with all slots in use.
+
+    Two slots complete more than one although each is slower, while three of
+    four slots complete more than all four.
+    """
+    return slots / KNEE_FACTOR > slots_below(slots, KNEE_SHARE)
+
+
+def _may_use_last_slot(
+    candidate: Candidate,
+    placement: Placement,
+    objective_ms: float,
+    utilization: float,
+    now: float,
+) -> bool:
+    """Return whether a request may use a slot above the knee.
+
+    The slot must be free according to a fresh load sample, and the request
+    must be on time there.
+    """
+    return (
+        _completes_more_above_knee(slot_count(candidate))
+        and placement.fresh
+        and placement.expected_ms <= objective_ms
+        and not is_full(candidate, utilization, now, max_slot_share=1.0)
+    )
+
+
 def _score(
     candidate: Candidate,
     expected: float,
--- a/wigeongw/decisions/placement_test.py
+++ b/wigeongw/decisions/placement_test.py
@@ -6,7 +6,9 @@
 from wigeongw.core.site import LoadSample
 from wigeongw.core.site import Target
 from wigeongw.decisions import placement as placements
+from wigeongw.decisions import queue_order
 from wigeongw.decisions.placement import Candidate
+from wigeongw.decisions.placement import Unavailability
 
 NOW = 10_000.0
 WORK_MS = 100.0
@@ -30,10 +32,11 @@
     may_probe: bool = True,
     silent: bool = False,
     in_subset: bool = True,
+    slots: int = 4,
 ) -> Candidate:
-    target = Target(name, "s", "127.0.0.1:1", "amman", 4)
+    target = Target(name, "s", "127.0.0.1:1", "amman", slots)
     sample = LoadSample(
-        NOW - age_ms, running, waiting, 4, slowdown, 0.0, healthy
+        NOW - age_ms, running, waiting, slots, slowdown, 0.0, healthy
     )
     return Candidate(
         target,
@@ -51,7 +54,9 @@
 
 
 def choose_identity(
-    *candidates: Candidate, skip_slow: bool = False
+    *candidates: Candidate,
+    skip_slow: bool = False,
+    max_slot_share: float = placements.KNEE_SHARE,
 ) -> str | None:
     placement = placements.choose(
         candidates,
@@ -61,6 +66,7 @@
         NOW,
         random.Random(1),
         skip_slow,
+        max_slot_share,
     )
     return placement.target.identity if placement else None
 
@@ -159,6 +165,68 @@
                 )
                 self.assertIsNone(choose_identity(full_upstream))
 
+    def test_last_slots_are_used_where_that_completes_more(self) -> None:
+        """Two slots complete more than one; four less than three."""
+        cases = (
+            ("first of two", candidate("a", slots=2), "a"),
+            ("last of two", candidate("a", slots=2, running=1), "a"),
+            ("third of two", candidate("a", slots=2, running=2), None),
+            ("third of four", candidate("a", running=2), "a"),
+            ("last of four", candidate("a", running=3), None),
+            ("the only slot", candidate("a", slots=1), "a"),
+            ("second of one", candidate("a", slots=1, running=1), None),
+            (
+                "last of two, old sample",
+                candidate("a", slots=2, running=1, age_ms=40.0),
+                None,
+            ),
+            (
+                "last of two, late there",
+                candidate("a", slots=2, running=1, slowdown=2.0),
+                None,
+            ),
+        )
+        for case, found, expected in cases:
+            with self.subTest(case=case):
+                self.assertEqual(choose_identity(found), expected)
+
+    def test_slots_below_the_knee_come_first(self) -> None:
+        crowded = candidate("crowded", slots=2, running=1)
+        slower = candidate("slower", slots=2, slowdown=2.4)
+        self.assertEqual(choose_identity(crowded, slower), "slower")
+
+    def test_overdue_requests_use_idle_upstreams_only(self) -> None:
+        """A sample some milliseconds old still shows an idle upstream."""
+        cases = (
+            ("idle", candidate("a", slots=2), "a"),
+            ("idle, old sample", candidate("a", slots=2, age_ms=40.0), "a"),
+            ("one of two", candidate("a", slots=2, running=1), None),
+            ("one of four", candidate("a", running=1), "a"),
+            ("two of four", candidate("a", running=2), None),
+        )
+        for case, found, expected in cases:
+            with self.subTest(case=case):
+                chosen = choose_identity(
+                    found, max_slot_share=queue_order.OVERDUE_SLOT_SHARE
+                )
+                self.assertEqual(chosen, expected)
+
+    def test_log_says_why_an_upstream_is_not_chosen(self) -> None:
+        cases = (
+            (candidate("a"), Unavailability.NONE),
+            (candidate("a", silent=True), Unavailability.SILENT),
+            (candidate("a", cold=True), Unavailability.COLD),
+            (candidate("a", doubtful=True), Unavailability.MAYBE_COLD),
+            (candidate("a", running=4), Unavailability.FULL),
+            (candidate("a", slowdown=5.0), Unavailability.SLOW),
+            (candidate("a", running=3), Unavailability.ABOVE_KNEE),
+        )
+        for found, expected in cases:
+            with self.subTest(expected=expected):
+                self.assertIs(
+                    placements.unavailability(found, 0.5, NOW), expected
+                )
+
     def test_cold_and_doubtful_upstreams_need_a_token_of_the_rate_limit(
         self,
     ) -> None:
--- a/wigeongw/gateway/placer.py
+++ b/wigeongw/gateway/placer.py
@@ -1,6 +1,7 @@
 """Selects an upstream for each request, with probing, queueing and refusal."""
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
 import heapq
@@ -229,6 +230,7 @@
             reason=reason,
             usable=len(usable_targets),
             resting=sum(1 for s in usable_targets if s.backoff_until > now),
+            **self._count_unavailable(usable_targets, request, now),
             busy=round(100.0 * self.state.utilization(request.service)),
             waiting=self.queue_length(request.service),
             work_ms=work_ms,
@@ -238,6 +240,22 @@
         )
         return RefusedError(reason, retry_after_ms)
 
+    def _count_unavailable(
+        self,
+        states: list[TargetState],
+        request: PlacementRequest,
+        now: float,
+    ) -> dict[str, int]:
+        """Count upstreams by the reason why they cannot take a request."""
+        utilization = self.state.utilization(request.service)
+        reasons = Counter(
+            placements.unavailability(
+                self.state.candidate(state, now), utilization, now
+            ).value
+            for state in states
+        )
+        return dict(sorted(reasons.items()))
+
     @staticmethod
     def _max_slot_share(request: PlacementRequest) -> float:
         if request.overdue:
--- a/wigeongw/model/simulation_test.py
+++ b/wigeongw/model/simulation_test.py
@@ -3,6 +3,7 @@
 import functools
 import unittest
 
+from wigeongw.model.simulated_upstream import Machines
 from wigeongw.model.simulation import Load
 from wigeongw.model.simulation import Result
 from wigeongw.model.simulation import Simulation
@@ -74,6 +75,30 @@
         )
 
 
+class TwoSlotUpstreamsTest(unittest.TestCase):
+    """Upstreams with two slots, where every second slot is above the knee.
+
+    The load is six tenths of what the upstreams complete with all slots in
+    use.
+    """
+
+    LOAD = Load(
+        per_s=200.0,
+        upstreams=20,
+        work_ms=65.0,
+        objective_ms=200.0,
+        deadline_ms=1_200.0,
+        returns=2,
+        length_ms=3_000.0,
+        machines=Machines(slots=2),
+    )
+
+    def test_clients_are_on_time_and_none_is_refused(self) -> None:
+        found = run_simulation(self.LOAD, "overdue_last")
+        self.assertGreaterEqual(found.share("on time"), 0.95, found.ended)
+        self.assertEqual(found.ended["refused"], 0, found.ended)
+
+
 class LightLoadTest(unittest.TestCase):
     def test_nearly_all_requests_are_on_time(self) -> None:
         found = run_simulation(LIGHT_LOAD, "patient_probes")
