A host that serves names itself to clients that look up addresses

The store may refuse to renew a host's lease while the host serves. Without an entry it was named by nobody, and a host whose view held no host answered 503. Look-ups that get no address are logged with the reason and all are counted (lookups_total), since nothing told why 10 in 100 fail.

--- a/wigeongw/decisions/address_lookup.py
+++ b/wigeongw/decisions/address_lookup.py
@@ -26,20 +26,28 @@
     ttl_ms: float
 
 
-def answer(
-    hosts: Iterable[Host], max_ttl_ms: float, rng: random.Random
+def respond(
+    hosts: Iterable[Host],
+    own_address: str | None,
+    max_ttl_ms: float,
+    rng: random.Random,
 ) -> LookupResponse:
     """Create the response to an address lookup.
 
     The response lists live hosts of all availability zones, so that clients
-    are spread evenly over all hosts, however many clients each zone has.
+    are spread evenly over all hosts, however many clients each zone has. A
+    host that serves names itself even while it has no entry, since the store
+    may refuse to renew its lease.
 
     Args:
         hosts: the registered hosts.
+        own_address: address of this host if it serves clients, else None.
         max_ttl_ms: upper limit for the time to live of the response.
         rng: spreads clients over hosts.
     """
     addresses = [host.address for host in hosts]
+    if own_address is not None and own_address not in addresses:
+        addresses.append(own_address)
     rng.shuffle(addresses)
     return LookupResponse(
         tuple(addresses[:MAX_ANSWER_HOSTS]), min(max_ttl_ms, LOOKUP_TTL_MS)
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -104,6 +104,20 @@
         self._update_limits()
         return removed
 
+    def record_lookup(self, address_count: int) -> None:
+        """Count an address lookup; log one that cannot be answered."""
+        if address_count:
+            self.metrics.count("lookups_total", "answered")
+            return
+        self.metrics.count("lookups_total", "no_host")
+        self.log.add(
+            "lookup",
+            event="no_host",
+            position=self.view.position,
+            has_configuration=int(self.view.configuration is not None),
+            stopping=int(self.stopping),
+        )
+
     def update_bounds(self, bounds: SiteLimits) -> None:
         """Replace the site's limits."""
         self.host_config = replace(self.host_config, bounds=bounds)
