Hosts prefer a few upstreams in other zones too

Cause: a host preferred 8 upstreams a service in its own zone only, and these were chosen among all, also draining, cold and evacuated ones.

Change: the subset is chosen among upstreams that can be used and is completed by the next one by rank; 16 more are preferred in other zones. Sites of up to 16 upstreams in other zones behave as before.

--- a/wigeongw/decisions/placement.py
+++ b/wigeongw/decisions/placement.py
@@ -64,7 +64,11 @@
 # still in the subset of a few hosts, and the number of connections grows only
 # with the number of hosts.
 SUBSET_SIZE = 8
-# Added to the score of an upstream in the same zone outside that subset.
+# The same for the other zones together, which a host uses while its own zone
+# is evacuated or full. It is larger because many hosts then send there at the
+# same time.
+REMOTE_SUBSET_SIZE = 16
+# Added to the score of an upstream outside that subset.
 OUTSIDE_SUBSET_PENALTY_MS = 4.0
 
 
@@ -305,14 +309,16 @@
 
 
 def choose_subset(
-    host: str, upstreams: Iterable[str], size: int = SUBSET_SIZE
+    host: str, upstreams: Iterable[str], size: int
 ) -> frozenset[str]:
     """Choose the subset of upstreams that a host prefers.
 
+    When an upstream leaves, the next one by rank takes its place, and the
+    connections to all others stay in use.
+
     Args:
         host: name of the host.
-        upstreams: identities of the upstreams of one service in the
-            availability zone of the host.
+        upstreams: identities of upstreams of one service.
         size: the maximum number of upstreams in the subset.
     """
     return frozenset(rank_by_rendezvous(host, upstreams, size))
@@ -410,7 +416,7 @@
     score = expected + risk * RISK_PENALTY_FACTOR * objective_ms
     if not candidate.same_zone:
         score += OTHER_ZONE_PENALTY_MS
-    elif not candidate.in_subset:
+    if not candidate.in_subset:
         score += OUTSIDE_SUBSET_PENALTY_MS
     return score + rng.random()
 
--- a/wigeongw/decisions/placement_test.py
+++ b/wigeongw/decisions/placement_test.py
@@ -79,7 +79,7 @@
 
     def test_every_upstream_is_in_the_subset_of_several_hosts(self) -> None:
         subsets = [
-            placements.choose_subset(h, self.UPSTREAMS) for h in self.HOSTS
+            placements.choose_subset(h, self.UPSTREAMS, 8) for h in self.HOSTS
         ]
         for upstream in self.UPSTREAMS:
             with self.subTest(upstream=upstream):
@@ -91,10 +91,18 @@
     def test_subset_does_not_grow_with_the_number_of_upstreams(self) -> None:
         for host in self.HOSTS:
             for count in (1, 8, 20, 40):
-                subset = placements.choose_subset(host, self.UPSTREAMS[:count])
-                self.assertEqual(
-                    len(subset), min(count, placements.SUBSET_SIZE)
+                subset = placements.choose_subset(
+                    host, self.UPSTREAMS[:count], 8
                 )
+                self.assertEqual(len(subset), min(count, 8))
+
+    def test_one_upstream_replaces_another_that_leaves(self) -> None:
+        for host in self.HOSTS:
+            before = placements.choose_subset(host, self.UPSTREAMS, 8)
+            for gone in before:
+                remaining = [u for u in self.UPSTREAMS if u != gone]
+                after = placements.choose_subset(host, remaining, 8)
+                self.assertEqual(len(after & before), 7)
 
     def test_subset_is_probed_and_chosen_first(self) -> None:
         other = candidate("other", in_subset=False)
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -101,6 +101,11 @@
         removed = []
         if view.targets is not old.targets:
             removed = self._apply_targets()
+        if (
+            view.targets is not old.targets
+            or view.evacuated is not old.evacuated
+        ):
+            self._choose_subsets()
         self._update_limits()
         return removed
 
@@ -254,14 +259,30 @@
         for state in self.targets.values():
             name = state.target.service
             self.targets_by_service.setdefault(name, []).append(state)
-        for states in self.targets_by_service.values():
-            local = [s for s in states if self.is_in_local_zone(s.target)]
+        return removed
+
+    def _choose_subsets(self) -> None:
+        """Choose the upstreams that this host prefers, for each service."""
+        now = self.clock.now()
+        for service, states in self.targets_by_service.items():
+            warm = [
+                state
+                for state in self.usable_targets(service)
+                if state.cold_until <= now
+            ]
+            local = [s for s in warm if self.is_in_local_zone(s.target)]
+            remote = [s for s in warm if not self.is_in_local_zone(s.target)]
             subset = placements.choose_subset(
-                self.host_config.name, (s.target.identity for s in local)
+                self.host_config.name,
+                (s.target.identity for s in local),
+                placements.SUBSET_SIZE,
+            ) | placements.choose_subset(
+                self.host_config.name,
+                (s.target.identity for s in remote),
+                placements.REMOTE_SUBSET_SIZE,
             )
-            for state in local:
+            for state in states:
                 state.in_subset = state.target.identity in subset
-        return removed
 
     def _new_target_state(self, target: Target) -> TargetState:
         return TargetState(
--- a/wigeongw/gateway/state_test.py
+++ b/wigeongw/gateway/state_test.py
@@ -11,12 +11,14 @@
 from wigeongw.core.site import Target
 from wigeongw.daemon.metrics import Metrics
 from wigeongw.decisions import host_limits
+from wigeongw.decisions import placement as placements
 from wigeongw.decisions import site_view
 from wigeongw.gateway.decision_log import DecisionLog
 from wigeongw.gateway.host_case import configuration
 from wigeongw.gateway.state import GatewayState
 from wigeongw.ports.catalog import Change
 from wigeongw.ports.catalog import HostGone
+from wigeongw.ports.catalog import ZoneEvacuated
 
 TARGET = Target("i-1", "s", "127.0.0.1:1", "amman", 4)
 NEVER = float("-inf")
@@ -27,6 +29,15 @@
     return Host(f"h{number}", f"127.0.0.1:{number}", zone, "")
 
 
+def make_targets(count: int, *zones: str) -> list[Target]:
+    """Return targets of one service, so many in each zone."""
+    return [
+        Target(f"{zone}-{number}", "s", "127.0.0.1:1", zone, 4)
+        for zone in zones
+        for number in range(count)
+    ]
+
+
 class GatewayStateTest(unittest.TestCase):
     def setUp(self) -> None:
         null_fd = os.open(os.devnull, os.O_WRONLY)
@@ -50,6 +61,49 @@
             self.state.bounds, service, hosts, 0.0, random.Random(1)
         ).rate
 
+    def preferred(self, zone: str) -> set[str]:
+        """Return the preferred upstreams in a zone."""
+        return {
+            state.target.identity
+            for state in self.state.targets.values()
+            if state.in_subset and state.target.availability_zone == zone
+        }
+
+    def test_few_upstreams_are_preferred_in_each_zone(self) -> None:
+        """A host of a large site keeps connections to a few upstreams."""
+        self.apply_changes(
+            configuration(), *make_targets(40, "amman", "irbid")
+        )
+        self.assertEqual(len(self.preferred("amman")), placements.SUBSET_SIZE)
+        self.assertEqual(
+            len(self.preferred("irbid")), placements.REMOTE_SUBSET_SIZE
+        )
+
+    def test_preferred_upstreams_can_be_used(self) -> None:
+        """Draining and cold upstreams and evacuated zones are left out."""
+        self.apply_changes(
+            configuration(), *make_targets(40, "amman", "irbid")
+        )
+        draining, cold = sorted(self.preferred("amman"))[:2]
+        kept = self.preferred("amman") - {draining, cold}
+        self.apply_changes(
+            replace(self.state.targets[draining].target, draining=True),
+            replace(
+                self.state.targets[cold].target,
+                cold_left_ms=3_000.0,
+                born_ms=5.0,
+            ),
+        )
+        found = self.preferred("amman")
+        self.assertEqual(len(found), placements.SUBSET_SIZE)
+        self.assertEqual(found & {draining, cold}, set())
+        self.assertLessEqual(kept, found)
+        self.apply_changes(ZoneEvacuated("amman"))
+        self.assertEqual(self.preferred("amman"), set())
+        self.assertEqual(
+            len(self.preferred("irbid")), placements.REMOTE_SUBSET_SIZE
+        )
+
     def test_limits_follow_hosts_known_after_the_upstream(self) -> None:
         """At a start of the site all hosts register at about the same time."""
         self.apply_changes(TARGET)
--- a/wigeongw/gateway/target_state.py
+++ b/wigeongw/gateway/target_state.py
@@ -43,8 +43,7 @@
         peer_reported_silent_at: start of the latest unanswered probe that
             another host reported.
         misdirected: its address now belongs to another upstream.
-        in_subset: it belongs to this host's subset of the upstreams in its
-            availability zone.
+        in_subset: it belongs to the upstreams that this host prefers.
     """
 
     target: Target
