One host watches the store at any size; refused renewals back off

Each of 5 relays watched the store about once a second; a restarted host read the store and then watched it once to catch up; a host that the store refuses repeated its renewal every 300 ms.

Change: the first relay watches the store, the other relays ask it, and all other hosts ask one of these (relay_selection.RelayPlan; one host on sites of up to 29 hosts, as before). A host that starts catches up from a relay, whose answer it awaits for 0.2 s. A relay whose log begins later than a host's position (410) is asked again at once, one that stops (503) is not. Renewals that fail are repeated after 0.3 s to 1.2 s.

--- a/wigeongw/gateway/follower.py
+++ b/wigeongw/gateway/follower.py
@@ -147,8 +147,7 @@
 
     def _watch_pause_ms(self) -> float:
         """Return the pause between watches, in which changes accumulate."""
-        own_name = self.state.host_config.name
-        if own_name in relay_selection.relays(self.state.view.hosts):
+        if self._is_relay():
             return RELAY_WATCH_PAUSE_MS
         return WATCH_PAUSE_MS
 
@@ -160,11 +159,14 @@
         """
         if self.store_unreachable:
             return UNREACHABLE_WATCH_TIMEOUT_MS
-        own_name = self.state.host_config.name
-        if own_name in relay_selection.relays(self.state.view.hosts):
+        if self._is_relay():
             return RELAY_WATCH_TIMEOUT_MS
         return WATCH_TIMEOUT_MS
 
+    def _is_relay(self) -> bool:
+        plan = relay_selection.make_plan(self.state.view.hosts)
+        return self.state.host_config.name in plan.relays
+
     def _apply_batch(self, batch: ChangeBatch, is_full: bool) -> None:
         now = self.state.clock.now()
         if self.store_unreachable:
--- a/wigeongw/gateway/registrar.py
+++ b/wigeongw/gateway/registrar.py
@@ -15,7 +15,10 @@
 LEASE_TTL_MS = 4_000.0
 RENEW_INTERVAL_MS = 1_500.0
 STORE_CALL_TIMEOUT_MS = 1_000.0
-RETRY_INTERVAL_MS = 300.0
+# Delay before a failed call is repeated, doubled with each further failure.
+# The store may refuse a host for many seconds, and each call has a price.
+MIN_RETRY_DELAY_MS = 300.0
+MAX_RETRY_DELAY_MS = 1_200.0
 # Poll interval while there is no configuration; until then a host cannot serve
 # clients and does not register.
 NOT_READY_POLL_INTERVAL_MS = 50.0
@@ -38,12 +41,14 @@
 
     async def run(self) -> None:
         """Register and renew the lease until the entry is withdrawn."""
+        retry_delay_ms = MIN_RETRY_DELAY_MS
         while not self.withdrawn:
             delay_ms = RENEW_INTERVAL_MS
             try:
                 async with self.registration_lock:
                     async with asyncio.timeout(seconds(STORE_CALL_TIMEOUT_MS)):
                         await self._register_or_renew()
+                retry_delay_ms = MIN_RETRY_DELAY_MS
                 if self.lease is None:
                     delay_ms = NOT_READY_POLL_INTERVAL_MS
             except LeaseLostError:
@@ -52,7 +57,8 @@
                 delay_ms = 0.0
             except (CatalogError, TimeoutError) as error:
                 self.follower.record_store_failure(repr(error))
-                delay_ms = RETRY_INTERVAL_MS
+                delay_ms = retry_delay_ms
+                retry_delay_ms = min(MAX_RETRY_DELAY_MS, 2.0 * retry_delay_ms)
             await asyncio.sleep(seconds(delay_ms))
 
     async def withdraw(self) -> None:
--- a/wigeongw/gateway/relay.py
+++ b/wigeongw/gateway/relay.py
@@ -20,9 +20,9 @@
 from wigeongw.adapters import change_codec
 from wigeongw.adapters.change_codec import ChangeCodecError
 from wigeongw.core.clock import seconds
-from wigeongw.core.identifiers import rank_by_rendezvous
 from wigeongw.core.site import Host
 from wigeongw.decisions import relay_selection
+from wigeongw.decisions.relay_selection import RelayPlan
 from wigeongw.gateway.asgi import Receive
 from wigeongw.gateway.asgi import Scope
 from wigeongw.gateway.asgi import Send
@@ -42,6 +42,8 @@
 CHANGES_PATH = "/changes"
 # The whole view of a host, for a host that cannot read the store.
 STATE_PATH = "/state"
+HTTP_OK = 200
+HTTP_GONE = 410
 JSON = "application/json"
 # Responses of this size or more are compressed: a configuration goes to many
 # hosts over one link at the same time.
@@ -49,13 +51,10 @@
 COMPRESSION_LEVEL = 1
 # How long a relay holds a request open while there is no change.
 RELAY_LONG_POLL_MS = 500.0
-# After this time without a response the relay is considered down.
-RELAY_RESPONSE_TIMEOUT_MS = 700.0
-# A relay that got no response from the store for this long is not used. The
-# limit exceeds the sum of a relay's own watch pause and watch timeout.
-MAX_RELAY_AGE_MS = 1_050.0
-# A relay holds a request open until its age reaches that limit. Its response
-# then takes up to this time to reach the host that asked.
+# Time that its response may then take before the relay is considered down.
+RELAY_RESPONSE_MARGIN_MS = 200.0
+# A relay holds a request open until its age reaches the limit for its role.
+# Its response then takes up to this time to reach the host that asked.
 RELAY_DELIVERY_MS = 50.0
 # How long a relay holds a request open at least, so that hosts do not ask in
 # a tight loop while its age is near the limit.
@@ -68,6 +67,9 @@
 STORE_WATCH_MARGIN_MS = 600.0
 # Upper limit of a reported age, also used when the store never answered.
 MAX_REPORTED_AGE_MS = 3_600_000.0
+# A watch that waits no longer than this only catches up with changes that
+# were already made.
+CATCH_UP_WATCH_MS = 1.0
 # How long a relay that failed is not asked again.
 RELAY_BACKOFF_MS = 2_000.0
 
@@ -109,17 +111,21 @@
         query = parse_qs(scope["query_string"].decode("latin-1"))
         try:
             position = int(query["after"][0])
+            longest_ms = float(query.get("wait_ms", [RELAY_LONG_POLL_MS])[0])
         except (KeyError, ValueError):
             await send_text(send, 400, JSON, "{}")
             return
-        trusted_ms = MAX_RELAY_AGE_MS - self._store_age_ms()
-        wait_ms = max(
-            MIN_RELAY_LONG_POLL_MS, min(RELAY_LONG_POLL_MS, trusted_ms)
-        )
+        plan = relay_selection.make_plan(self.state.view.hosts)
+        limit_ms = plan.max_age_ms(self.state.host_config.name)
+        trusted_ms = limit_ms - self._store_age_ms()
+        wait_ms = min(longest_ms, max(MIN_RELAY_LONG_POLL_MS, trusted_ms))
         await self.change_log.wait(position, wait_ms)
+        if self.state.stopping:
+            await send_text(send, 503, JSON, "{}")
+            return
         changes = self.change_log.changes_since(position)
-        if changes is None or self.state.stopping:
-            await send_text(send, 410, JSON, "{}")
+        if changes is None:
+            await send_text(send, HTTP_GONE, JSON, "{}")
             return
         await self._send_batch(
             send, max(position, self.change_log.last_position), changes
@@ -151,6 +157,7 @@
 
     Attributes:
         backoff_until: by relay that failed, when it may be asked again.
+        read_hosts: the hosts that the last full read returned.
     """
 
     def __init__(
@@ -165,12 +172,18 @@
         self.session = session
         self.change_log = change_log
         self.backoff_until: dict[str, float] = {}
+        self.read_hosts: dict[str, Host] = {}
 
     async def read(self, fresh: bool) -> ChangeBatch:
         """Read everything from the store."""
         batch = await self._timed("read", self.store.read(fresh))
         self.state.store_answered_at = self.state.clock.now()
         self.change_log.restart(batch.position)
+        self.read_hosts = {
+            change.name: change
+            for change in batch.changes
+            if isinstance(change, Host)
+        }
         return batch
 
     async def watch(self, position: int, wait_ms: float) -> ChangeBatch:
@@ -183,17 +196,24 @@
             CatalogError: when neither the store nor another host answers.
             HistoryLostError: when the store compacted the position.
         """
-        for relay in self._relays_to_ask():
-            limit_ms = MAX_RELAY_AGE_MS + RELAY_DELIVERY_MS
-            batch = await self._watch_relay(relay, position, limit_ms)
+        plan = relay_selection.make_plan(self._hosts())
+        poll_ms = RELAY_LONG_POLL_MS
+        if wait_ms <= CATCH_UP_WATCH_MS:
+            poll_ms = wait_ms
+        # Only one relay is asked, because each further one might take as long
+        # to fail.
+        for relay in self._usable(plan.sources(self._own_name()))[:1]:
+            limit_ms = plan.max_age_ms(relay.name) + RELAY_DELIVERY_MS
+            batch = await self._watch_relay(relay, position, poll_ms, limit_ms)
             if batch is not None:
+                self._keep_for_others(plan, batch, position)
                 return batch
         try:
             return await self._watch_store(position, wait_ms)
         except HistoryLostError:
             raise
         except CatalogError:
-            batch = await self._watch_substitutes(position)
+            batch = await self._watch_last_sources(plan, position)
             if batch is None:
                 raise
             return batch
@@ -246,64 +266,80 @@
         self.change_log.add(batch, position)
         return batch
 
-    async def _watch_substitutes(self, position: int) -> ChangeBatch | None:
-        hosts = self.state.view.hosts
-        own_name = self.state.host_config.name
-        names = relay_selection.substitutes(hosts, own_name)
-        for host in self._usable(names):
+    async def _watch_last_sources(
+        self, plan: RelayPlan, position: int
+    ) -> ChangeBatch | None:
+        for host in self._usable(plan.last_sources(self._own_name())):
             batch = await self._watch_relay(
-                host, position, MAX_SUBSTITUTE_AGE_MS
+                host, position, RELAY_LONG_POLL_MS, MAX_SUBSTITUTE_AGE_MS
             )
             if batch is not None:
                 return batch
         return None
 
-    def _relays_to_ask(self) -> list[Host]:
-        """Return the relay to ask, or nothing when this host is a relay.
+    def _keep_for_others(
+        self, plan: RelayPlan, batch: ChangeBatch, since: int
+    ) -> None:
+        """Keep changes from the root if other hosts ask this one for them."""
+        if self._own_name() not in plan.relays:
+            return
+        answered_at = self.state.clock.now() - batch.age_ms
+        self.state.store_answered_at = max(
+            self.state.store_answered_at, answered_at
+        )
+        self.change_log.add(batch, since)
 
-        At most one relay is returned: after its failure the store is asked,
-        because each further relay might take as long to fail.
-        """
-        names = relay_selection.relays(self.state.view.hosts)
-        own_name = self.state.host_config.name
-        if own_name in names:
-            return []
-        ordered = rank_by_rendezvous(own_name, names, len(names))
-        return self._usable(ordered)[:1]
+    def _own_name(self) -> str:
+        return self.state.host_config.name
+
+    def _hosts(self) -> dict[str, Host]:
+        """Return the known hosts, before the first view those just read."""
+        return self.state.view.hosts or self.read_hosts
 
     def _usable(self, names: Iterable[str]) -> list[Host]:
         """Return the named hosts that may be asked now."""
         now = self.state.clock.now()
-        hosts = (self.state.view.hosts[name] for name in names)
+        known = self._hosts()
         return [
-            host
-            for host in hosts
-            if host.peer and self.backoff_until.get(host.name, now) <= now
+            known[name]
+            for name in names
+            if known[name].peer and self.backoff_until.get(name, now) <= now
         ]
 
     async def _watch_relay(
-        self, relay: Host, position: int, max_age_ms: float
+        self,
+        relay: Host,
+        position: int,
+        poll_ms: float,
+        max_age_ms: float,
     ) -> ChangeBatch | None:
         """Ask another host for changes.
 
         Args:
             relay: the host to ask.
             position: position after which changes are wanted.
+            poll_ms: how long it may wait for a change.
             max_age_ms: limit for the time since the store answered it.
 
         Returns:
-            The changes; None when the host has none that can be used. It is
-            then not asked again for a while.
+            The changes; None when the host has none that can be used. A host
+            that fails is not asked again for a while.
         """
         url = f"http://{relay.peer}{CHANGES_PATH}"
+        query = {"after": str(position), "wait_ms": f"{poll_ms:.0f}"}
         try:
-            async with asyncio.timeout(seconds(RELAY_RESPONSE_TIMEOUT_MS)):
-                async with self.session.get(
-                    url, params={"after": str(position)}
-                ) as response:
+            async with asyncio.timeout(
+                seconds(poll_ms + RELAY_RESPONSE_MARGIN_MS)
+            ):
+                async with self.session.get(url, params=query) as response:
                     raw = await response.read()
                     status = response.status
-            if status != 200:
+            if status == HTTP_GONE:
+                # Its log begins later. The store can still answer, and the
+                # relay serves the position that follows.
+                self.state.metrics.count("relay_logs_too_short_total")
+                return None
+            if status != HTTP_OK:
                 raise CatalogError(
                     f"relay {relay.name} returned status {status}, "
                     "expected 200"
--- a/wigeongw/gateway/relay_test.py
+++ b/wigeongw/gateway/relay_test.py
@@ -5,6 +5,7 @@
 import os
 import random
 import unittest
+from unittest import mock
 
 import aiohttp
 
@@ -86,7 +87,7 @@
         async with asyncio.timeout(10.0):
             while not self.all_hosts_known():  # noqa: ASYNC110
                 await asyncio.sleep(0.05)
-        self.relays = relay_selection.relays(NAMES)
+        self.relays = relay_selection.make_plan(NAMES).relays
         self.others = [n for n in NAMES if n not in self.relays]
         await asyncio.sleep(1.0)
 
@@ -209,6 +210,43 @@
         await asyncio.sleep(4.0)
         await self.assert_change_propagates([relay, *self.others])
 
+    async def test_only_the_root_watches_the_store(self) -> None:
+        before = {
+            name: catalog.watches for name, catalog in self.catalogs.items()
+        }
+        await self.assert_change_propagates(list(NAMES))
+        for name in NAMES:
+            if name != self.relays[0]:
+                with self.subTest(host=name):
+                    self.assertEqual(self.catalogs[name].watches, before[name])
+
+    async def test_change_propagates_after_the_root_is_killed(self) -> None:
+        root = self.relays[0]
+        await self.kill(root)
+        await self.assert_change_propagates(
+            [name for name in NAMES if name != root]
+        )
+
+
+class RelayTreeTest(RelayTest):
+    """The same faults where relays ask the root and other hosts a relay."""
+
+    async def asyncSetUp(self) -> None:
+        small_groups = mock.patch.object(relay_selection, "HOSTS_PER_RELAY", 2)
+        self.enterContext(small_groups)
+        await super().asyncSetUp()
+        self.assertEqual(len(self.relays), 3)
+
+    async def test_change_propagates_after_one_relay_of_each_level_is_killed(
+        self,
+    ) -> None:
+        killed = self.relays[:2]
+        for name in killed:
+            await self.kill(name)
+        await self.assert_change_propagates(
+            [name for name in NAMES if name not in killed]
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
