The platform's host no longer loads the settings library

Cause: gateway imported one constant from daemon/headers, which imports the settings and with them pydantic: 85 ms of the 353 ms of imports of each start, and 11 MB. daemon/metrics was used by both hosts. Change: names of headers and metrics move to core, which both may import.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -24,11 +24,11 @@
 from wigeongw.adapters import peer_codec
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import MS_PER_S
+from wigeongw.core.metrics import Metrics
 from wigeongw.core.records import EntryHost
 from wigeongw.core.records import Upstream
 from wigeongw.daemon.decision_log import decision_handler
 from wigeongw.daemon.decision_log import DecisionLog
-from wigeongw.daemon.metrics import Metrics
 from wigeongw.decisions import host_order
 from wigeongw.decisions.grantor import Grantor
 from wigeongw.decisions.grantor import Takeover
--- a/wigeongw/daemon/decision_log.py
+++ b/wigeongw/daemon/decision_log.py
@@ -16,7 +16,7 @@
 
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
-from wigeongw.daemon.metrics import Metrics
+from wigeongw.core.metrics import Metrics
 
 WRITE_INTERVAL_MS = 100.0
 MAX_LINES_PER_BATCH = 200
--- a/wigeongw/daemon/dispatcher.py
+++ b/wigeongw/daemon/dispatcher.py
@@ -12,12 +12,12 @@
 from dataclasses import replace
 
 from wigeongw.core.clock import Clock
+from wigeongw.core.metrics import Metrics
 from wigeongw.core.records import Outcome
 from wigeongw.core.records import Upstream
 from wigeongw.daemon.decision_log import DecisionLog
 from wigeongw.daemon.decision_log import ROUTE
 from wigeongw.daemon.errors import Problem
-from wigeongw.daemon.metrics import Metrics
 from wigeongw.daemon.permit_manager import NotAdmittedError
 from wigeongw.daemon.permit_manager import PermitManager
 from wigeongw.decisions import retry
--- a/wigeongw/daemon/entry_host.py
+++ b/wigeongw/daemon/entry_host.py
@@ -18,6 +18,7 @@
 from wigeongw.adapters.peer_links import PeerLinks
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
+from wigeongw.core.metrics import Metrics
 from wigeongw.core.records import EntryHost
 from wigeongw.daemon.decision_log import DecisionLog
 from wigeongw.daemon.dispatcher import Dispatcher
@@ -30,7 +31,6 @@
 from wigeongw.daemon.local_resources import MetricsResource
 from wigeongw.daemon.local_resources import SettingsResource
 from wigeongw.daemon.local_resources import StatusResource
-from wigeongw.daemon.metrics import Metrics
 from wigeongw.daemon.permit_manager import PermitManager
 from wigeongw.daemon.site_tracker import SiteTracker
 from wigeongw.daemon.store_sync import StoreSync
--- a/wigeongw/daemon/frontend.py
+++ b/wigeongw/daemon/frontend.py
@@ -19,6 +19,7 @@
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
 from wigeongw.core.identifiers import new_random_id
+from wigeongw.core.metrics import Metrics
 from wigeongw.core.records import Outcome
 from wigeongw.daemon.dispatcher import Dispatcher
 from wigeongw.daemon.dispatcher import Exchange
@@ -32,7 +33,6 @@
 from wigeongw.daemon.idempotency_manager import digest
 from wigeongw.daemon.idempotency_manager import IdempotencyManager
 from wigeongw.daemon.idempotency_manager import OwnedClaim
-from wigeongw.daemon.metrics import Metrics
 from wigeongw.decisions.idempotency import Claim
 from wigeongw.decisions.retry import IDEMPOTENT_METHODS
 from wigeongw.settings.schema import Settings
--- a/wigeongw/daemon/headers.py
+++ b/wigeongw/daemon/headers.py
@@ -8,25 +8,12 @@
 from dataclasses import dataclass
 from typing import Any
 
+from wigeongw.core.http_headers import HOP_BY_HOP_HEADERS
 from wigeongw.core.records import Outcome
 from wigeongw.daemon.errors import Problem
 from wigeongw.ports.upstream import Headers
 from wigeongw.settings.schema import ServiceSettings
 
-HOP_BY_HOP_HEADERS = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "expect",
-    )
-)
 OWN_HEADER_PREFIX = "wigeongw-"
 DEADLINE_HEADER = "wigeongw-deadline-ms"
 KEY_HEADER = "idempotency-key"
--- a/wigeongw/daemon/idempotency_manager.py
+++ b/wigeongw/daemon/idempotency_manager.py
@@ -20,9 +20,9 @@
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
 from wigeongw.core.identifiers import new_random_id
+from wigeongw.core.metrics import Metrics
 from wigeongw.core.records import Outcome
 from wigeongw.daemon.errors import Problem
-from wigeongw.daemon.metrics import Metrics
 from wigeongw.decisions import idempotency
 from wigeongw.decisions.idempotency import Claim
 from wigeongw.decisions.idempotency import ClaimAction
--- a/wigeongw/daemon/load_report_poller.py
+++ b/wigeongw/daemon/load_report_poller.py
@@ -10,8 +10,8 @@
 
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
+from wigeongw.core.metrics import Metrics
 from wigeongw.core.records import Upstream
-from wigeongw.daemon.metrics import Metrics
 from wigeongw.daemon.permit_manager import PermitManager
 from wigeongw.daemon.site_tracker import SiteTracker
 from wigeongw.decisions import load_report_budget
--- a/wigeongw/daemon/local_resources.py
+++ b/wigeongw/daemon/local_resources.py
@@ -14,10 +14,10 @@
 
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import MS_PER_S
+from wigeongw.core.metrics import Metrics
 from wigeongw.core.records import EntryHost
 from wigeongw.daemon.dispatcher import Dispatcher
 from wigeongw.daemon.load_report_poller import LoadReportPoller
-from wigeongw.daemon.metrics import Metrics
 from wigeongw.daemon.permit_manager import PermitManager
 from wigeongw.decisions import host_order
 from wigeongw.decisions import site_state as sites
--- a/wigeongw/daemon/permit_manager.py
+++ b/wigeongw/daemon/permit_manager.py
@@ -17,10 +17,10 @@
 from wigeongw.core.errors import WigeongwError
 from wigeongw.core.identifiers import pool_service
 from wigeongw.core.identifiers import pool_zone
+from wigeongw.core.metrics import Metrics
 from wigeongw.core.records import Upstream
 from wigeongw.daemon.decision_log import DecisionLog
 from wigeongw.daemon.decision_log import PLACE
-from wigeongw.daemon.metrics import Metrics
 from wigeongw.decisions import site_state as sites
 from wigeongw.decisions import strategies
 from wigeongw.decisions import trace
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -15,9 +15,9 @@
 from wigeongw.core.addresses import split_address
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
+from wigeongw.core.metrics import Metrics
 from wigeongw.core.site import HostConfig
 from wigeongw.core.site import SiteLimits
-from wigeongw.daemon.metrics import Metrics
 from wigeongw.gateway.asgi import MetricsApp
 from wigeongw.gateway.asgi import PortRouter
 from wigeongw.gateway.borrower import Borrower
--- a/wigeongw/gateway/observation_exchange_test.py
+++ b/wigeongw/gateway/observation_exchange_test.py
@@ -9,11 +9,11 @@
 from wigeongw.adapters import observation_codec
 from wigeongw.adapters.observation_codec import Observations
 from wigeongw.core.clock import Clock
+from wigeongw.core.metrics import Metrics
 from wigeongw.core.site import Host
 from wigeongw.core.site import HostConfig
 from wigeongw.core.site import LoadSample
 from wigeongw.core.site import Target
-from wigeongw.daemon.metrics import Metrics
 from wigeongw.decisions import site_view
 from wigeongw.decisions.site_view import SiteView
 from wigeongw.gateway.decision_log import DecisionLog
--- a/wigeongw/gateway/request_head.py
+++ b/wigeongw/gateway/request_head.py
@@ -3,8 +3,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from wigeongw.core.http_headers import HOP_BY_HOP_HEADERS
 from wigeongw.core.site import ClientLimits
-from wigeongw.daemon.headers import HOP_BY_HOP_HEADERS
 from wigeongw.gateway.errors import RequestError
 from wigeongw.ports.dialect import HeaderNames
 
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -5,12 +5,12 @@
 import random
 
 from wigeongw.core.clock import Clock
+from wigeongw.core.metrics import Metrics
 from wigeongw.core.site import HostConfig
 from wigeongw.core.site import Route
 from wigeongw.core.site import Service
 from wigeongw.core.site import SiteLimits
 from wigeongw.core.site import Target
-from wigeongw.daemon.metrics import Metrics
 from wigeongw.decisions import estimates
 from wigeongw.decisions import host_limits
 from wigeongw.decisions import placement as placements
--- a/wigeongw/gateway/state_test.py
+++ b/wigeongw/gateway/state_test.py
@@ -6,10 +6,10 @@
 import unittest
 
 from wigeongw.core.clock import Clock
+from wigeongw.core.metrics import Metrics
 from wigeongw.core.site import Host
 from wigeongw.core.site import HostConfig
 from wigeongw.core.site import Target
-from wigeongw.daemon.metrics import Metrics
 from wigeongw.decisions import host_limits
 from wigeongw.decisions import placement as placements
 from wigeongw.decisions import site_view
