Bytes without end from an upstream end the exchange

Change: 64 KiB without a complete head or body bytes fail the exchange; streaming ends with its client; the connection of a response that is not forwarded is closed; load values must be finite.

--- a/wigeongw/adapters/load_header.py
+++ b/wigeongw/adapters/load_header.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+import math
 
 from wigeongw.core.site import LoadSample
 from wigeongw.ports.dialect import ResponseKind
@@ -56,6 +57,8 @@
         return None
     if len(values) < MIN_LOAD_VALUES:
         return None
+    if not all(map(math.isfinite, (*values, cold_ms))):
+        return None
     running = int(values[0])
     if (
         load_format.includes_answered_request
--- a/wigeongw/adapters/upstream_connection.py
+++ b/wigeongw/adapters/upstream_connection.py
@@ -19,6 +19,10 @@
 # Responses up to this size are buffered before any of it goes to the client,
 # so that a request whose response is truncated can be retried.
 MAX_BUFFERED_BODY_BYTES = 1 << 20
+# Bytes that an upstream may send without completing a head or sending body
+# bytes: a head, framing of chunks, trailers. A faulty upstream may send such
+# bytes without end.
+MAX_BYTES_WITHOUT_PROGRESS = 1 << 16
 # Responses to other requests that an exchange skips before it fails.
 MAX_FOREIGN_RESPONSES = 2
 # Responses with a lower status are informational.
@@ -73,6 +77,8 @@
             in lower case.
         waiter: completes with the response of the exchange in progress.
         is_reusable: whether the connection can serve another exchange.
+        bytes_without_progress: bytes received since the last complete head
+            or body bytes.
         is_skipping: whether the response being parsed is discarded.
         is_complete: whether the response of the last exchange has ended.
         is_close_delimited: whether the response ends when the upstream
@@ -90,6 +96,7 @@
         self.head_only = False
         self.sent = False
         self.is_reusable = True
+        self.bytes_without_progress = 0
         self.foreign_responses = 0
         self.idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS
         self.idle_since = 0.0
@@ -119,10 +126,14 @@
         if self.waiter is None and self.reply is None:
             self.close()
             return
+        self.bytes_without_progress += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
             self._fail(f"not an answer: {e!r}")
+            return
+        if self.bytes_without_progress > MAX_BYTES_WITHOUT_PROGRESS:
+            self._fail("not an answer: head without end")
 
     def eof_received(self) -> None:
         """Complete a close-delimited response."""
@@ -208,6 +219,7 @@
 
     def on_headers_complete(self) -> None:
         """Skip a response to another request; find how the body ends."""
+        self.bytes_without_progress = 0
         status = self.parser.get_status_code()
         if self.is_complete or status < MIN_FINAL_STATUS:
             return
@@ -237,6 +249,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Buffer the body, or queue its chunks once it is long."""
+        self.bytes_without_progress = 0
         if self.is_skipping or self.is_complete or self.reply is None:
             return
         if self.reply.rest is not None:
@@ -269,6 +282,7 @@
         self.is_skipping = False
         self.is_complete = False
         self.is_close_delimited = False
+        self.bytes_without_progress = 0
 
     def _discard_headers(self) -> None:
         if not self.is_complete:
--- a/wigeongw/adapters/upstream_connection_test.py
+++ b/wigeongw/adapters/upstream_connection_test.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from contextlib import AsyncExitStack
 import socket
 import struct
@@ -21,6 +22,8 @@
 
 ID_HEADER = "x-id"
 EXCHANGE_TIMEOUT_S = 5.0
+# Prefix of bytes that the upstream repeats until its caller closes.
+ENDLESS = b"ENDLESS "
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
@@ -56,8 +59,21 @@
                 await writer.drain()
                 await asyncio.sleep(0.05)
                 continue
+            if piece.startswith(ENDLESS):
+                await self.write_until_closed(
+                    piece.removeprefix(ENDLESS), writer
+                )
+                return
             writer.write(piece)
 
+    async def write_until_closed(
+        self, piece: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(ConnectionError):
+            while not writer.is_closing():
+                writer.write(piece)
+                await writer.drain()
+
     async def exchange(
         self, request_id: str, method: str = "GET"
     ) -> tuple[int, bytes, UpstreamConnection]:
@@ -196,6 +212,35 @@
                     await self.exchange("1")
                 self.assertTrue(caught.exception.sent)
 
+    async def test_fails_on_bytes_without_end_that_are_no_answer(self) -> None:
+        """A faulty upstream sends until its caller closes the connection.
+
+        The caller must neither keep the bytes nor wait for its timeout.
+        """
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        cases = (
+            ("header value", [b"HTTP/1.1 200 OK\r\nX-A: ", b"a" * 1_024]),
+            ("headers", [b"HTTP/1.1 200 OK\r\n", b"X-A: a\r\n" * 100]),
+            ("reason", [b"HTTP/1.1 200 ", b"a" * 1_024]),
+            ("chunk extension", [chunked, b"1;", b"a" * 1_024]),
+            ("trailers", [chunked, b"0\r\n", b"X-A: a\r\n" * 100]),
+            (
+                "head of the response after another one",
+                [
+                    response_bytes(200, b"old", f"{ID_HEADER}: 0"),
+                    b"HTTP/1.1 200 OK\r\nX-A: ",
+                    b"a" * 1_024,
+                ],
+            ),
+        )
+        for case, pieces in cases:
+            with self.subTest(case=case):
+                self.scripts = [[*pieces[:-1], ENDLESS + pieces[-1]]]
+                with self.assertRaises(ExchangeError) as caught:
+                    await self.exchange("1")
+                self.assertTrue(caught.exception.sent)
+                self.assertEqual(self.pool.idle, {})
+
     async def test_refused_connection_sends_nothing(self) -> None:
         self.target = Target("a", "s", "127.0.0.1:1", "amman", 4)
         with self.assertRaises(ExchangeError) as caught:
--- a/wigeongw/gateway/forwarder.py
+++ b/wigeongw/gateway/forwarder.py
@@ -164,9 +164,11 @@
             if done.outcome is not Outcome.NOT_RUN:
                 progress.may_have_run = True
             if progress.in_flight:
+                _discard(done)
                 continue
             if not await self._retry(request, progress, done):
                 return self._give_up(request, progress, done)
+            _discard(done)
 
     async def _next_result(
         self, request: Request, progress: Progress
@@ -493,5 +495,12 @@
         self.state.log.add(record_type, id=request.request_id, reason=reason)
 
 
+def _discard(attempt: Attempt) -> None:
+    """Close the connection of a response that is not forwarded to its end."""
+    has_rest = attempt.reply is not None and attempt.reply.rest is not None
+    if has_rest and attempt.connection is not None:
+        attempt.connection.close()
+
+
 def _header_line(name: str, value: str) -> bytes:
     return f"{name}: {value}".encode("latin-1")
--- a/wigeongw/gateway/host_case.py
+++ b/wigeongw/gateway/host_case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 from contextlib import AsyncExitStack
 import os
 import random
@@ -84,10 +85,12 @@
 
     Attributes:
         script: response bytes written in order; b"HANG" waits for the test's
-            timeout, b"PAUSE" waits 50 ms, b"CLOSE" closes the connection.
+            timeout, b"PAUSE" waits 50 ms, b"CLOSE" closes the connection,
+            b"ENDLESS" sends body bytes until the caller closes it.
         load: running, waiting, slots and slowdown that it reports.
         cold_ms: remaining warm-up that it reports.
         silent: whether it accepts connections but does not respond.
+        closed_by_caller: number of endless bodies that the caller ended.
     """
 
     def __init__(self, identity: str) -> None:
@@ -98,6 +101,7 @@
         self.load = "0,0,4,1"
         self.cold_ms = 0
         self.silent = False
+        self.closed_by_caller = 0
         self.server = ScriptedUpstream(self._answer)
 
     def target(self, zone: str = "amman", service: str = "s") -> Target:
@@ -132,12 +136,22 @@
                 await asyncio.sleep(TIMEOUT_S)
             elif step == b"PAUSE":
                 await asyncio.sleep(0.05)
+            elif step == b"ENDLESS":
+                await self._write_until_closed(writer)
+                return
             elif step == b"CLOSE":
                 writer.close()
                 return
             else:
                 writer.write(step)
 
+    async def _write_until_closed(self, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(ConnectionError):
+            while not writer.is_closing():
+                writer.write(b"x" * 65_536)
+                await writer.drain()
+        self.closed_by_caller += 1
+
 
 class HostCase(unittest.IsolatedAsyncioTestCase):
     """Runs one host in this process with two fake upstreams."""
--- a/wigeongw/gateway/host_test.py
+++ b/wigeongw/gateway/host_test.py
@@ -89,6 +89,52 @@
         states = self.host.state.targets.values()
         self.assertTrue(all(not s.in_flight_since for s in states))
 
+    async def test_download_ends_when_its_client_disconnects(self) -> None:
+        """Neither host nor upstream work on for a client that has left."""
+        await self.publish_all()
+        for upstream in self.upstreams:
+            upstream.script = [
+                response_bytes(200, b"", SIGNATURE_HEADER, length=-1),
+                b"ENDLESS",
+            ]
+        response = await self.session.get(
+            f"http://{self.host.state.host_config.front}/fetch/x",
+            headers={"Host": "a.example", NAMES.request_id: "id-1"},
+        )
+        await response.content.readexactly(4 << 20)
+        response.close()
+        await self.until(lambda: self.host.proxy_app.in_progress == 0, 1.0)
+        await self.until(
+            lambda: sum(u.closed_by_caller for u in self.upstreams) == 1, 1.0
+        )
+
+    async def test_endless_body_without_signature_is_no_response(self) -> None:
+        await self.publish_all()
+        for upstream in self.upstreams:
+            upstream.script = [response_bytes(200, b"", length=-1), b"ENDLESS"]
+        status, _, _ = await self.send("/write/x", "POST")
+        self.assertEqual(status, 502)
+        await self.until(
+            lambda: sum(u.closed_by_caller for u in self.upstreams) == 1, 1.0
+        )
+
+    async def test_failures_with_endless_bodies_are_retried_and_closed(
+        self,
+    ) -> None:
+        await self.publish_all()
+        first, second = self.upstreams
+        for upstream in self.upstreams:
+            upstream.script = [response_bytes(500, b"", length=-1), b"ENDLESS"]
+        sent = asyncio.create_task(self.send("/read/x"))
+        await self.until(lambda: self.ran_count() >= 1)
+        other = second if first.ran else first
+        other.script = [response_bytes(200, b"done", SIGNATURE_HEADER)]
+        status, body, _ = await sent
+        self.assertEqual((status, body), (200, b"done"))
+        await self.until(
+            lambda: sum(u.closed_by_caller for u in self.upstreams) == 1, 1.0
+        )
+
 
 class ForwarderTest(HostCase):
     """Failures of one or both upstreams, with retries and hedging."""
--- a/wigeongw/gateway/proxy_app.py
+++ b/wigeongw/gateway/proxy_app.py
@@ -1,16 +1,19 @@
 """ASGI application that proxies client requests to upstreams."""
 
 import asyncio
+from collections.abc import Coroutine
 import contextlib
+from typing import Any
+from typing import TypeVar
 
 from wigeongw.adapters.http_server import RAW_TARGET_EXTENSION
 from wigeongw.adapters.upstream_connection import BufferedReply
 from wigeongw.core.clock import MS_PER_S
 from wigeongw.core.clock import seconds
+from wigeongw.core.http_headers import HOP_BY_HOP_HEADERS
 from wigeongw.core.records import Outcome
 from wigeongw.core.site import ClientLimits
 from wigeongw.core.site import Route
-from wigeongw.daemon.headers import HOP_BY_HOP_HEADERS
 from wigeongw.decisions import queue_order
 from wigeongw.decisions.routing import find_route
 from wigeongw.gateway.asgi import Receive
@@ -29,6 +32,8 @@
 from wigeongw.ports.dialect import Dialect
 from wigeongw.ports.errors import BodyError
 
+T = TypeVar("T")
+
 # Deadline of a request that specifies none.
 DEFAULT_DEADLINE_MS = 5_000.0
 NO_CONFIGURATION_RETRY_AFTER_MS = 200.0
@@ -198,7 +203,9 @@
             deadline_at,
             self._is_overdue(self.route, head.deadline_ms),
         )
-        return await self._forward_until_disconnect(request)
+        return await self._until_disconnect(
+            self.app.forwarder.forward(request)
+        )
 
     def _is_overdue(self, route: Route, deadline_ms: float | None) -> bool:
         """Return whether the client retries too late for the objective.
@@ -217,22 +224,27 @@
             waited_ms, route.objective_ms, estimate.mean_ms
         )
 
-    async def _forward_until_disconnect(self, request: Request) -> Attempt:
-        forwarding = asyncio.create_task(self.app.forwarder.forward(request))
+    async def _until_disconnect(self, operation: Coroutine[Any, Any, T]) -> T:
+        """Run an operation, and cancel it when the client disconnects.
+
+        Raises:
+            _ClientDisconnectedError: when the client disconnected first.
+        """
+        running = asyncio.create_task(operation)
         disconnect = asyncio.create_task(self._wait_for_disconnect())
         try:
             await asyncio.wait(
-                (forwarding, disconnect), return_when=asyncio.FIRST_COMPLETED
+                (running, disconnect), return_when=asyncio.FIRST_COMPLETED
             )
-            if forwarding.done():
-                return forwarding.result()
+            if running.done():
+                return running.result()
             raise _ClientDisconnectedError
         finally:
             disconnect.cancel()
-            if not forwarding.done():
-                forwarding.cancel()
+            if not running.done():
+                running.cancel()
                 with contextlib.suppress(asyncio.CancelledError):
-                    await forwarding
+                    await running
 
     async def _wait_for_disconnect(self) -> None:
         while (await self.receive())["type"] != "http.disconnect":
@@ -287,7 +299,7 @@
         has_more = reply.rest is not None
         await self._send_body(reply.body, has_more)
         if has_more:
-            await self._stream_body(attempt, reply)
+            await self._until_disconnect(self._stream_body(attempt, reply))
 
     async def _stream_body(
         self, attempt: Attempt, reply: BufferedReply
