--- a/wigeongw/adapters/load_header_test.py
+++ b/wigeongw/adapters/load_header_test.py
@@ -79,6 +79,9 @@
             {"load": ""},
             {"load": "1,2"},
             {"load": "a,b,c"},
+            {"load": "nan,0,4"},
+            {"load": "1,0,inf"},
+            {"load": "1,0,4,100", "cold": "nan"},
             {"load": "1,0,4,100", "cold": "soon"},
         )
         for headers in cases:
