--- a/wigeongw/gateway/forwarder.py
+++ b/wigeongw/gateway/forwarder.py
@@ -10,83 +10,25 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from wigeongw.adapters.upstream_connection import BufferedReply
-from wigeongw.adapters.upstream_connection import ExchangeError
-from wigeongw.adapters.upstream_connection import UpstreamConnection
-from wigeongw.adapters.upstream_pool import UpstreamPool
 from wigeongw.core.clock import seconds
 from wigeongw.core.records import Outcome
-from wigeongw.core.site import Route
 from wigeongw.decisions import host_limits
 from wigeongw.decisions import wait_limits
 from wigeongw.decisions.placement import Placement
 from wigeongw.gateway.errors import OutcomeUnknownError
 from wigeongw.gateway.errors import RefusedError
-from wigeongw.gateway.observation_exchange import ObservationExchange
 from wigeongw.gateway.placer import PlacementRequest
 from wigeongw.gateway.placer import Placer
 from wigeongw.gateway.state import GatewayState
-from wigeongw.gateway.target_state import TargetState
-from wigeongw.ports.dialect import Dialect
-from wigeongw.ports.dialect import ResponseKind
+from wigeongw.gateway.upstream_sender import Attempt
+from wigeongw.gateway.upstream_sender import Request
+from wigeongw.gateway.upstream_sender import UpstreamSender
 
-HTTP_MISDIRECTED = 421
 HTTP_SERVER_ERROR = 500
-HTTP_OK = 200
-HTTP_MULTIPLE_CHOICES = 300
-# The upstream's deadline is this much earlier than the client's.
-UPSTREAM_MARGIN_MS = 2.0
 # Event loop timers may fire this much early.
 MAX_TIMER_EARLY_MS = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class Request:
-    """A client's request, read completely.
-
-    Times are in milliseconds on the monotonic clock.
-
-    Attributes:
-        request_id: ID that the client sent; empty when it sent none.
-        target: path and query, byte for byte as received.
-        headers: end-to-end headers, names in lower case.
-        arrived_at: when its head was read.
-        deadline_at: when the client must have a response.
-        overdue: whether it can no longer meet its latency objective.
-    """
-
-    request_id: str
-    method: str
-    target: bytes
-    headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
-    route: Route
-    service: str
-    arrived_at: float
-    deadline_at: float
-    overdue: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Attempt:
-    """The result of sending a request to one upstream.
-
-    Attributes:
-        reply: the response; None when there is none to forward.
-        outcome: whether the upstream ran the request.
-        sent: whether a byte may have reached the upstream.
-        reason: short word for logs and metrics.
-        connection: carries the rest of the response, if any.
-    """
-
-    placement: Placement
-    reply: BufferedReply | None
-    outcome: Outcome
-    sent: bool
-    reason: str
-    connection: UpstreamConnection | None = None
-
-
 @dataclass(slots=True)
 class Progress:
     """The attempts made for one request so far.
@@ -115,15 +57,11 @@
         self,
         state: GatewayState,
         placer: Placer,
-        pool: UpstreamPool,
-        dialect: Dialect,
-        observations: ObservationExchange,
+        sender: UpstreamSender,
     ) -> None:
         self.state = state
-        self.observations = observations
         self.placer = placer
-        self.pool = pool
-        self.dialect = dialect
+        self.sender = sender
 
     async def forward(self, request: Request) -> Attempt:
         """Forward a request.
@@ -301,156 +239,9 @@
         progress.sends += 1
         progress.tried.add(placement.target.identity)
         self._log_placement(request, placement, why)
-        state = self.state.targets.get(placement.target.identity)
-        task = asyncio.create_task(self._attempt(request, placement, state))
+        task = asyncio.create_task(self.sender.send(request, placement))
         progress.in_flight[task] = placement
 
-    async def _attempt(
-        self,
-        request: Request,
-        placement: Placement,
-        state: TargetState | None,
-    ) -> Attempt:
-        if state is None:
-            return Attempt(placement, None, Outcome.NOT_RUN, False, "gone")
-        now = self.state.clock.now()
-        if placement.doubtful and not state.cold_bucket.take(now):
-            return Attempt(placement, None, Outcome.NOT_RUN, False, "cold")
-        sent_at = now
-        state.in_flight_since.append(sent_at)
-        self.observations.report_send(state)
-        slowdown = state.sample.slowdown if state.sample else 1.0
-        try:
-            connection = await self.pool.acquire(placement.target)
-            if not self._still_usable(state):
-                self.pool.release(placement.target, connection)
-                return Attempt(placement, None, Outcome.NOT_RUN, False, "gone")
-            reply = await connection.exchange(
-                self._request_head(request, placement),
-                request.body,
-                request.request_id,
-                request.method == "HEAD",
-            )
-        except ExchangeError as error:
-            return self._failed_attempt(placement, state, error)
-        finally:
-            state.in_flight_since.remove(sent_at)
-        elapsed_ms = self.state.clock.now() - sent_at
-        attempt = self._classify_response(
-            request, placement, state, reply, connection
-        )
-        if attempt.reply is not None and reply.status < HTTP_SERVER_ERROR:
-            estimate = self.state.work_estimate(request.route, request.service)
-            estimate.learn(elapsed_ms, slowdown)
-        return attempt
-
-    def _still_usable(self, state: TargetState) -> bool:
-        return state in self.state.usable_targets(state.target.service)
-
-    def _failed_attempt(
-        self, placement: Placement, state: TargetState, error: ExchangeError
-    ) -> Attempt:
-        now = self.state.clock.now()
-        state.record_outcome(True, now)
-        if not error.sent:
-            state.record_unreachable(now)
-        outcome = Outcome.UNKNOWN if error.sent else Outcome.NOT_RUN
-        return Attempt(placement, None, outcome, error.sent, error.reason)
-
-    def _classify_response(
-        self,
-        request: Request,
-        placement: Placement,
-        state: TargetState,
-        reply: BufferedReply,
-        connection: UpstreamConnection,
-    ) -> Attempt:
-        """Record the load in a response and check whether it is usable.
-
-        Returns:
-            An attempt with the response, or without it when the upstream
-                rejected the request or the response is not usable.
-        """
-        now = self.state.clock.now()
-        names = self.dialect.names
-        if reply.rest is None:
-            self.pool.release(placement.target, connection)
-        state.record_reachable()
-        rejected = names.not_run in reply.fields
-        response_kind = (
-            ResponseKind.REJECTED if rejected else ResponseKind.REQUEST
-        )
-        sample = self.dialect.load(reply.fields, now, True, response_kind)
-        if sample is not None:
-            state.update_sample(sample)
-            self.observations.report_response(state)
-        instance = reply.fields.get(names.instance)
-        misdirected = reply.status == HTTP_MISDIRECTED and (
-            instance is not None and instance != placement.target.identity
-        )
-        if misdirected:
-            state.misdirected = True
-        if misdirected or rejected:
-            state.record_outcome(True, now)
-            if reply.rest is not None:
-                connection.close()
-            return Attempt(placement, None, Outcome.NOT_RUN, True, "shed")
-        defect = self._response_defect(request, reply)
-        state.record_outcome(
-            bool(defect) or reply.status >= HTTP_SERVER_ERROR, now
-        )
-        if defect:
-            connection.close()
-            return Attempt(placement, None, Outcome.UNKNOWN, True, defect)
-        return Attempt(
-            placement, reply, Outcome.RAN, True, "answered", connection
-        )
-
-    def _response_defect(self, request: Request, reply: BufferedReply) -> str:
-        """Check whether a response can be forwarded.
-
-        Returns:
-            The reason why it cannot, or an empty string.
-        """
-        names = self.dialect.names
-        fields = reply.fields
-        if (
-            fields.get(names.request_id, request.request_id)
-            != request.request_id
-        ):
-            return "foreign"
-        if not HTTP_OK <= reply.status < HTTP_MULTIPLE_CHOICES:
-            return ""
-        if names.signature not in fields:
-            return "unsigned"
-        if "content-encoding" in fields:
-            return "encoded"
-        return ""
-
-    def _request_head(self, request: Request, placement: Placement) -> bytes:
-        names = self.dialect.names
-        remaining_ms = (
-            request.deadline_at - self.state.clock.now() - UPSTREAM_MARGIN_MS
-        )
-        lines = [
-            request.method.encode("latin-1")
-            + b" "
-            + request.target
-            + b" HTTP/1.1"
-        ]
-        lines.extend(name + b": " + value for name, value in request.headers)
-        lines.append(
-            _header_line(names.deadline_ms, str(max(1, int(remaining_ms))))
-        )
-        lines.append(
-            _header_line(names.expected_instance, placement.target.identity)
-        )
-        if request.body or request.method in ("POST", "PUT", "PATCH"):
-            lines.append(
-                _header_line("content-length", str(len(request.body)))
-            )
-        return b"\r\n".join(lines) + b"\r\n\r\n"
-
     # Logging and conversions
 
     def _placement_request(
@@ -500,7 +291,3 @@
     has_rest = attempt.reply is not None and attempt.reply.rest is not None
     if has_rest and attempt.connection is not None:
         attempt.connection.close()
-
-
-def _header_line(name: str, value: str) -> bytes:
-    return f"{name}: {value}".encode("latin-1")
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -31,8 +31,9 @@
 from wigeongw.gateway.proxy_app import ProxyApp
 from wigeongw.gateway.registrar import Registrar
 from wigeongw.gateway.relay import RelayApp
-from wigeongw.gateway.relay import RelayedCatalog
+from wigeongw.gateway.relayed_catalog import RelayedCatalog
 from wigeongw.gateway.state import GatewayState
+from wigeongw.gateway.upstream_sender import UpstreamSender
 from wigeongw.ports.catalog import Catalog
 from wigeongw.ports.dialect import Dialect
 
@@ -99,9 +100,10 @@
         )
         self.registrar = Registrar(self.state, catalog, self.follower)
         placer = Placer(self.state, self.prober)
-        forwarder = Forwarder(
-            self.state, placer, self.pool, self.dialect, self.observations
+        sender = UpstreamSender(
+            self.state, self.pool, self.dialect, self.observations
         )
+        forwarder = Forwarder(self.state, placer, sender)
         self.proxy_app = ProxyApp(self.state, forwarder, self.dialect)
         self.platform_apps = dependencies.platform_apps
         self.stop_requested = asyncio.Event()
--- a/wigeongw/gateway/proxy_app.py
+++ b/wigeongw/gateway/proxy_app.py
@@ -21,14 +21,14 @@
 from wigeongw.gateway.asgi import Send
 from wigeongw.gateway.errors import RequestError
 from wigeongw.gateway.errors import ResponseTruncatedError
-from wigeongw.gateway.forwarder import Attempt
 from wigeongw.gateway.forwarder import Forwarder
-from wigeongw.gateway.forwarder import Request
 from wigeongw.gateway.request_head import Headers
 from wigeongw.gateway.request_head import read_head
 from wigeongw.gateway.request_head import RequestHead
 from wigeongw.gateway.request_head import split_tokens
 from wigeongw.gateway.state import GatewayState
+from wigeongw.gateway.upstream_sender import Attempt
+from wigeongw.gateway.upstream_sender import Request
 from wigeongw.ports.dialect import Dialect
 from wigeongw.ports.errors import BodyError
 
@@ -323,7 +323,7 @@
             await self._send_body(b"", False)
         finally:
             if is_complete:
-                self.app.forwarder.pool.release(
+                self.app.forwarder.sender.pool.release(
                     attempt.placement.target, attempt.connection
                 )
             else:
