--- a/wigeongw/gateway/change_log.py
+++ b/wigeongw/gateway/change_log.py
@@ -15,8 +15,8 @@
 class ChangeLog:
     """The recent changes that this host read, kept for other hosts.
 
-    Only reads and watches of the store itself enter the log. While the host
-    learns changes from a relay, the log falls behind the host's view.
+    The log of a host that is not a relay holds only what it read from the
+    store itself, so it falls behind the host's view.
 
     Attributes:
         changes: store position and encoded change, in order.
@@ -44,9 +44,8 @@
 
         Args:
             batch: the changes.
-            since: the position that the watch started from. Changes between
-                the end of the log and this position were never read from the
-                store, so the log starts anew there.
+            since: the position that the watch started from. The log starts
+                anew there if it lacks the changes up to this position.
         """
         kept = len(self.changes) + len(batch.changes)
         if since > self.last_position or kept > MAX_KEPT_CHANGES:
