A host considers all upstreams when the preferred ones do not serve well

Change: when they give no place, or a poor one, all usable warm upstreams of the service are considered, at most every 50 ms a service and host. On sites of up to 8 upstreams in the zone and 16 outside nothing changes: there are no others.

--- a/wigeongw/gateway/host_test.py
+++ b/wigeongw/gateway/host_test.py
@@ -124,7 +124,12 @@
         await self.publish_all()
         first, second = self.upstreams
         for upstream in self.upstreams:
-            upstream.script = [response_bytes(500, b"", length=-1), b"ENDLESS"]
+            upstream.script = [
+                # Time in which the other upstream gets its script.
+                *[b"PAUSE"] * 4,
+                response_bytes(500, b"", length=-1),
+                b"ENDLESS",
+            ]
         sent = asyncio.create_task(self.send("/read/x"))
         await self.until(lambda: self.ran_count() >= 1)
         other = second if first.ran else first
--- a/wigeongw/gateway/placer.py
+++ b/wigeongw/gateway/placer.py
@@ -22,6 +22,9 @@
 FIRST_ROUND_PROBES = 3
 NEXT_ROUND_PROBES = 4
 MAX_PROBE_ROUNDS = 3
+# How often a host considers all upstreams of a service. On a large site that
+# takes several times as long as considering the preferred ones.
+WIDE_SEARCH_INTERVAL_MS = 50.0
 # How often a queued request looks for a free slot.
 QUEUE_POLL_INTERVAL_MS = 8.0
 
@@ -66,6 +69,8 @@
     Attributes:
         queues: by service.
         last_sequence: sequence number of the latest request.
+        widened_at: by service, when all of its upstreams were considered
+            last, on the monotonic clock.
     """
 
     def __init__(self, state: GatewayState, prober: Prober) -> None:
@@ -73,6 +78,7 @@
         self.prober = prober
         self.queues: dict[str, WaitQueue] = {}
         self.last_sequence = 0
+        self.widened_at: dict[str, float] = {}
 
     async def place(self, request: PlacementRequest) -> Placement:
         """Select an upstream, waiting in the queue if necessary.
@@ -99,10 +105,37 @@
     async def try_place(self, request: PlacementRequest) -> Placement | None:
         """Probe upstreams and choose one, without waiting in the queue.
 
+        All upstreams of the service are considered from time to time when
+        those that this host prefers cannot serve the request well.
+
         Returns:
             None when no upstream can take the request now.
         """
-        states = self._untried_targets(request)
+        service = request.service
+        preferred = self.state.preferred_targets(service)
+        placement = await self._probe_and_choose(request, preferred)
+        now = self.state.clock.now()
+        if placement is not None and self._is_good_enough(
+            placement, self._remaining_objective_ms(request, now)
+        ):
+            return placement
+        widened_at = self.widened_at.get(service, float("-inf"))
+        if now - widened_at < WIDE_SEARCH_INTERVAL_MS:
+            return placement
+        others = self.state.other_targets(service)
+        if not others:
+            return placement
+        self.widened_at[service] = now
+        return await self._probe_and_choose(request, [*others, *preferred])
+
+    async def _probe_and_choose(
+        self, request: PlacementRequest, targets: list[TargetState]
+    ) -> Placement | None:
+        states = [
+            state
+            for state in targets
+            if state.target.identity not in request.tried
+        ]
         if not states:
             return None
         work_ms = self.state.work_estimate(
@@ -269,13 +302,6 @@
             placement, objective_ms
         )
 
-    def _untried_targets(self, request: PlacementRequest) -> list[TargetState]:
-        return [
-            state
-            for state in self.state.preferred_targets(request.service)
-            if state.target.identity not in request.tried
-        ]
-
     def _reachable(self, states: list[TargetState]) -> list[TargetState]:
         """Leave out upstreams in backoff, unless all of them are."""
         now = self.state.clock.now()
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -190,13 +190,24 @@
         now = self.clock.now()
         usable = self.usable_targets(service)
         preferred = [
-            state
-            for state in usable
-            if state.in_subset
-            or (state.cold_until > now and state.cold_bucket.rate > 0.0)
+            state for state in usable if self._is_preferred(state, now)
         ]
         return preferred or usable
 
+    def other_targets(self, service: str) -> list[TargetState]:
+        """Return the usable warm upstreams that this host does not prefer."""
+        now = self.clock.now()
+        return [
+            state
+            for state in self.usable_targets(service)
+            if state.cold_until <= now and not self._is_preferred(state, now)
+        ]
+
+    @staticmethod
+    def _is_preferred(state: TargetState, now: float) -> bool:
+        is_cold = state.cold_until > now
+        return state.in_subset or (is_cold and state.cold_bucket.rate > 0.0)
+
     def candidate(self, state: TargetState, now: float) -> Candidate:
         """Build the placement candidate for an upstream."""
         sample = state.sample
--- a/wigeongw/gateway/state_test.py
+++ b/wigeongw/gateway/state_test.py
@@ -91,6 +91,8 @@
                     placements.SUBSET_SIZE + placements.REMOTE_SUBSET_SIZE,
                 )
                 self.assertGreaterEqual(len(considered), min(count, 8))
+                others = self.state.other_targets("s")
+                self.assertEqual(len(considered) + len(others), 2 * count)
 
     def test_preferred_upstreams_can_be_used(self) -> None:
         """Draining upstreams and evacuated zones are left out.
