Hosts log which rate limits upstreams name to them

The logs could not tell whether a host had seen a limit, when, and in which response. A limit line says so for each change, place lines name the limit and its age, a gauge counts the limits in force. Nothing acts on a limit yet.

--- a/wigeongw/adapters/native_dialect.py
+++ b/wigeongw/adapters/native_dialect.py
@@ -27,6 +27,7 @@
         signature="wigeongw-signature",
         not_run="wigeongw-not-run",
         instance="wigeongw-start",
+        rate_limit="wigeongw-rate-limit",
     )
 
     def load(
--- a/wigeongw/core/site.py
+++ b/wigeongw/core/site.py
@@ -173,6 +173,20 @@
     healthy: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class RateLimit:
+    """What an upstream said about the request rate that it accepts.
+
+    Attributes:
+        per_s: requests per second that it takes from all hosts together; None
+            when it named no limit.
+        at_ms: when the response was received, monotonic clock.
+    """
+
+    per_s: float | None
+    at_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class SiteLimits:
     """Limits for a whole site, each of them summed over all hosts.
--- a/wigeongw/gateway/asgi.py
+++ b/wigeongw/gateway/asgi.py
@@ -45,7 +45,16 @@
         if scope["type"] != "http":
             return
         peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * KIB
-        lines = [f"peak_memory_bytes {peak}", *self.state.metrics.lines()]
+        limited = sum(
+            1
+            for state in self.state.targets.values()
+            if state.rate_limit and state.rate_limit.per_s is not None
+        )
+        lines = [
+            f"peak_memory_bytes {peak}",
+            f"rate_limits_in_force {limited}",
+            *self.state.metrics.lines(),
+        ]
         await send_text(send, 200, "text/plain", "\n".join(lines) + "\n")
 
 
--- a/wigeongw/gateway/forwarder.py
+++ b/wigeongw/gateway/forwarder.py
@@ -262,6 +262,8 @@
     ) -> None:
         state = self.state.targets.get(placement.target.identity)
         sample = state.sample if state else None
+        limit = state.rate_limit if state else None
+        is_limited = limit is not None and limit.per_s is not None
         now = self.state.clock.now()
         self.state.log.add(
             "place",
@@ -277,6 +279,8 @@
             waiting=sample.waiting if sample else None,
             slowdown=sample.slowdown if sample else None,
             risk=state.risk.decayed(now) if state else None,
+            limit_per_s=limit.per_s if limit else None,
+            limit_age_ms=now - limit.at_ms if limit and is_limited else None,
         )
 
     def _record_not_resent(
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -29,6 +29,7 @@
 from wigeongw.gateway.placer import Placer
 from wigeongw.gateway.prober import Prober
 from wigeongw.gateway.proxy_app import ProxyApp
+from wigeongw.gateway.rate_limit_reader import RateLimitReader
 from wigeongw.gateway.registrar import Registrar
 from wigeongw.gateway.relay import RelayApp
 from wigeongw.gateway.relayed_catalog import RelayedCatalog
@@ -84,8 +85,13 @@
         self.dialect = dependencies.dialect
         self.pool = UpstreamPool(clock, self.dialect.names.request_id)
         self.observations = ObservationExchange(self.state)
+        rate_limits = RateLimitReader(self.state, self.dialect.names)
         self.prober = Prober(
-            self.state, self.pool, self.dialect, self.observations
+            self.state,
+            self.pool,
+            self.dialect,
+            self.observations,
+            rate_limits,
         )
         self.change_log = ChangeLog()
         catalog = RelayedCatalog(
@@ -101,7 +107,11 @@
         self.registrar = Registrar(self.state, catalog, self.follower)
         placer = Placer(self.state, self.prober)
         sender = UpstreamSender(
-            self.state, self.pool, self.dialect, self.observations
+            self.state,
+            self.pool,
+            self.dialect,
+            self.observations,
+            rate_limits,
         )
         forwarder = Forwarder(self.state, placer, sender)
         self.proxy_app = ProxyApp(self.state, forwarder, self.dialect)
--- a/wigeongw/gateway/prober.py
+++ b/wigeongw/gateway/prober.py
@@ -8,6 +8,7 @@
 from wigeongw.core.clock import seconds
 from wigeongw.decisions import placement as placements
 from wigeongw.gateway.observation_exchange import ObservationExchange
+from wigeongw.gateway.rate_limit_reader import RateLimitReader
 from wigeongw.gateway.state import GatewayState
 from wigeongw.gateway.target_state import TargetState
 from wigeongw.ports.dialect import Dialect
@@ -34,8 +35,10 @@
         pool: UpstreamPool,
         dialect: Dialect,
         observations: ObservationExchange,
+        rate_limits: RateLimitReader,
     ) -> None:
         self.state = state
+        self.rate_limits = rate_limits
         self.observations = observations
         self.pool = pool
         self.dialect = dialect
@@ -121,6 +124,7 @@
             )
             return
         target.record_reachable()
+        self.rate_limits.read(target, reply, ResponseKind.PROBE)
         healthy = reply.status == HTTP_OK
         sample = self.dialect.load(
             reply.fields, now, healthy, ResponseKind.PROBE
--- /dev/null
+++ b/wigeongw/gateway/rate_limit_reader.py
@@ -0,0 +1,109 @@
+"""Learns from responses which upstreams limit their request rate."""
+
+from wigeongw.adapters.rate_limit_header import RateLimitHeaderError
+from wigeongw.adapters.rate_limit_header import read_rate_limit
+from wigeongw.adapters.upstream_connection import BufferedReply
+from wigeongw.core.site import RateLimit
+from wigeongw.gateway.state import GatewayState
+from wigeongw.gateway.target_state import TargetState
+from wigeongw.ports.dialect import HeaderNames
+from wigeongw.ports.dialect import ResponseKind
+
+# An upstream may send an invalid value in each of its responses.
+INVALID_VALUE_LOG_INTERVAL_MS = 10_000.0
+
+
+class RateLimitReader:
+    """Records the rate limits that upstreams name to this host.
+
+    Attributes:
+        invalid_logged_at: by identity of the upstream, when an invalid value
+            was last logged, monotonic clock.
+    """
+
+    def __init__(self, state: GatewayState, names: HeaderNames) -> None:
+        self.state = state
+        self.header_name = names.rate_limit
+        self.invalid_logged_at: dict[str, float] = {}
+
+    def read(
+        self,
+        target: TargetState,
+        reply: BufferedReply,
+        response_kind: ResponseKind,
+        request_id: str = "",
+    ) -> None:
+        """Update the rate limit of an upstream from one of its responses.
+
+        An invalid value is logged and changes nothing.
+
+        Args:
+            target: the upstream that sent the response.
+            reply: the response.
+            response_kind: kind of request that the response is to.
+            request_id: ID of that request; empty for a probe.
+        """
+        try:
+            per_s = read_rate_limit(self.header_name, reply.headers)
+        except RateLimitHeaderError as error:
+            self._log_invalid(target, request_id, error)
+            return
+        known = target.rate_limit
+        known_per_s = known.per_s if known is not None else None
+        if known is None and per_s is None:
+            return
+        target.rate_limit = RateLimit(per_s, self.state.clock.now())
+        if per_s != known_per_s:
+            self._log_change(
+                target, known_per_s, per_s, response_kind, request_id
+            )
+
+    def _log_change(
+        self,
+        target: TargetState,
+        before: float | None,
+        after: float | None,
+        response_kind: ResponseKind,
+        request_id: str,
+    ) -> None:
+        event = "changed"
+        if before is None:
+            event = "named"
+        elif after is None:
+            event = "ended"
+        self.state.metrics.count("rate_limit_changes_total", event)
+        self.state.log.add(
+            "limit",
+            id=request_id or None,
+            to=target.target.identity,
+            event=event,
+            before_per_s=before,
+            per_s=after,
+            response=response_kind.value,
+        )
+
+    def _log_invalid(
+        self,
+        target: TargetState,
+        request_id: str,
+        error: RateLimitHeaderError,
+    ) -> None:
+        self.state.metrics.count("rate_limits_invalid_total")
+        identity = target.target.identity
+        now = self.state.clock.now()
+        logged_at = self.invalid_logged_at.get(identity, float("-inf"))
+        if now - logged_at < INVALID_VALUE_LOG_INTERVAL_MS:
+            return
+        self.invalid_logged_at = {
+            name: at_ms
+            for name, at_ms in self.invalid_logged_at.items()
+            if now - at_ms < INVALID_VALUE_LOG_INTERVAL_MS
+        }
+        self.invalid_logged_at[identity] = now
+        self.state.log.add(
+            "limit",
+            id=request_id or None,
+            to=identity,
+            event="invalid",
+            cause=str(error),
+        )
--- a/wigeongw/gateway/target_state.py
+++ b/wigeongw/gateway/target_state.py
@@ -5,6 +5,7 @@
 from dataclasses import field
 
 from wigeongw.core.site import LoadSample
+from wigeongw.core.site import RateLimit
 from wigeongw.core.site import Target
 from wigeongw.decisions.estimates import FailureRate
 from wigeongw.decisions.host_limits import TokenBucket
@@ -44,6 +45,8 @@
             another host reported.
         misdirected: its address now belongs to another upstream.
         in_subset: it belongs to the upstreams that this host prefers.
+        rate_limit: the request rate that it accepts; None if it has never
+            named a limit.
     """
 
     target: Target
@@ -65,6 +68,7 @@
     peer_reported_silent_at: float = float("-inf")
     misdirected: bool = False
     in_subset: bool = True
+    rate_limit: RateLimit | None = None
 
     @property
     def silent(self) -> bool:
--- a/wigeongw/gateway/upstream_sender.py
+++ b/wigeongw/gateway/upstream_sender.py
@@ -14,6 +14,7 @@
 from wigeongw.core.site import Route
 from wigeongw.decisions.placement import Placement
 from wigeongw.gateway.observation_exchange import ObservationExchange
+from wigeongw.gateway.rate_limit_reader import RateLimitReader
 from wigeongw.gateway.state import GatewayState
 from wigeongw.gateway.target_state import TargetState
 from wigeongw.ports.dialect import Dialect
@@ -83,8 +84,10 @@
         pool: UpstreamPool,
         dialect: Dialect,
         observations: ObservationExchange,
+        rate_limits: RateLimitReader,
     ) -> None:
         self.state = state
+        self.rate_limits = rate_limits
         self.pool = pool
         self.dialect = dialect
         self.observations = observations
@@ -172,6 +175,10 @@
         )
         if misdirected:
             state.misdirected = True
+        else:
+            self.rate_limits.read(
+                state, reply, response_kind, request.request_id
+            )
         if misdirected or rejected:
             state.record_outcome(True, now)
             if reply.rest is not None:
--- a/wigeongw/ports/dialect.py
+++ b/wigeongw/ports/dialect.py
@@ -28,6 +28,8 @@
         signature: proof that the response was made by an upstream.
         not_run: present if the upstream certainly did not run the request.
         instance: identity of the upstream that responds.
+        rate_limit: requests per second that the upstream takes from all hosts
+            together.
     """
 
     request_id: str
@@ -36,6 +38,7 @@
     signature: str
     not_run: str
     instance: str
+    rate_limit: str
 
 
 class Dialect(Protocol):
