--- a/wigeongw/gateway/host_case.py
+++ b/wigeongw/gateway/host_case.py
@@ -31,6 +31,7 @@
 NAMES = NativeDialect.names
 SIGNATURE_HEADER = f"{NAMES.signature}: proof"
 TIMEOUT_S = 10.0
+CLOCK = Clock()
 ROUTE_KINDS = {
     "read": RouteKind.IDEMPOTENT,
     "write": RouteKind.NON_IDEMPOTENT,
@@ -86,7 +87,11 @@
     Attributes:
         script: response bytes written in order; b"HANG" waits for the test's
             timeout, b"PAUSE" waits 50 ms, b"CLOSE" closes the connection,
-            b"ENDLESS" sends body bytes until the caller closes it.
+            b"ENDLESS" sends body bytes until the caller closes it, b"DONE"
+            answers with success.
+        rate_limits: values of the rate limit header of each answer.
+        arrivals: when each request arrived, without probes, monotonic
+            milliseconds.
         load: running, waiting, slots and slowdown that it reports.
         cold_ms: remaining warm-up that it reports.
         silent: whether it accepts connections but does not respond.
@@ -95,9 +100,9 @@
 
     def __init__(self, identity: str) -> None:
         self.identity = identity
-        self.script: list[bytes] = [
-            response_bytes(200, b"done", SIGNATURE_HEADER)
-        ]
+        self.script: list[bytes] = [b"DONE"]
+        self.rate_limits: tuple[str, ...] = ()
+        self.arrivals: list[float] = []
         self.load = "0,0,4,1"
         self.cold_ms = 0
         self.silent = False
@@ -128,9 +133,11 @@
                     f"{NAMES.instance}: {self.identity}",
                     f"wigeongw-load: {self.load}",
                     f"wigeongw-cold-ms: {self.cold_ms}",
+                    *self._limit_lines(),
                 )
             )
             return
+        self.arrivals.append(CLOCK.now())
         for step in self.script:
             if step == b"HANG":
                 await asyncio.sleep(TIMEOUT_S)
@@ -139,12 +146,18 @@
             elif step == b"ENDLESS":
                 await self._write_until_closed(writer)
                 return
+            elif step == b"DONE":
+                lines = (SIGNATURE_HEADER, *self._limit_lines())
+                writer.write(response_bytes(200, b"done", *lines))
             elif step == b"CLOSE":
                 writer.close()
                 return
             else:
                 writer.write(step)
 
+    def _limit_lines(self) -> list[str]:
+        return [f"{NAMES.rate_limit}: {value}" for value in self.rate_limits]
+
     async def _write_until_closed(self, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(ConnectionError):
             while not writer.is_closing():
--- /dev/null
+++ b/wigeongw/gateway/rate_limit_test.py
@@ -0,0 +1,123 @@
+"""Tests that all hosts together keep the rate limits of upstreams."""
+
+import asyncio
+from collections.abc import Sequence
+from contextlib import AsyncExitStack
+import os
+import random
+import unittest
+
+import aiohttp
+
+from wigeongw.adapters.memory_catalog import MemoryCatalog
+from wigeongw.adapters.native_dialect import NativeDialect
+from wigeongw.core.clock import Clock
+from wigeongw.core.clock import MS_PER_S
+from wigeongw.core.site import HostConfig
+from wigeongw.gateway.host import GatewayHost
+from wigeongw.gateway.host import HostDependencies
+from wigeongw.gateway.host_case import configuration
+from wigeongw.gateway.host_case import FakeUpstream
+from wigeongw.gateway.host_case import free_port
+from wigeongw.gateway.host_case import NAMES
+
+WINDOW_MS = 4_000.0
+# What an upstream may get beyond its limit in a window.
+MAX_LIMIT_FACTOR = 1.5
+MAX_EXTRA_REQUESTS = 5
+HOST_COUNT = 3
+
+
+def max_in_window(times: Sequence[float], window_ms: float) -> int:
+    """Return the largest number of times within any window."""
+    return max(
+        sum(1 for at_ms in times if start <= at_ms < start + window_ms)
+        for start in times
+    )
+
+
+class SeveralHostsCase(unittest.IsolatedAsyncioTestCase):
+    """Runs several hosts in this process, with two fake upstreams."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the upstreams and the hosts, and publish a configuration."""
+        self.stack = await self.enterAsyncContext(AsyncExitStack())
+        self.catalog = MemoryCatalog()
+        self.upstreams = [FakeUpstream("one"), FakeUpstream("two")]
+        for upstream in self.upstreams:
+            await upstream.server.start(self.stack)
+        self.session = await self.stack.enter_async_context(
+            aiohttp.ClientSession()
+        )
+        self.null_fd = os.open(os.devnull, os.O_WRONLY)
+        self.stack.callback(os.close, self.null_fd)
+        self.hosts = [self._start_host(n) for n in range(HOST_COUNT)]
+        targets = [upstream.target() for upstream in self.upstreams]
+        await self.catalog.publish(configuration(), *targets)
+        async with asyncio.timeout(10.0):
+            while not all(  # noqa: ASYNC110
+                len(h.state.view.hosts) == HOST_COUNT for h in self.hosts
+            ):
+                await asyncio.sleep(0.01)
+
+    async def send_at_rate(self, per_s: float, duration_ms: float) -> None:
+        """Send requests to the hosts in turn, without waiting for answers."""
+        tasks = []
+        for number in range(int(per_s * duration_ms / MS_PER_S)):
+            host = self.hosts[number % HOST_COUNT]
+            tasks.append(asyncio.create_task(self._send(host, number)))
+            await asyncio.sleep(1.0 / per_s)
+        self.statuses = await asyncio.gather(*tasks)
+
+    async def _send(self, host: GatewayHost, number: int) -> int:
+        url = f"http://{host.state.host_config.front}/read/{number}"
+        headers = {"Host": "a.example", NAMES.request_id: f"id-{number}"}
+        async with self.session.get(url, headers=headers) as response:
+            await response.read()
+            return response.status
+
+    def _start_host(self, number: int) -> GatewayHost:
+        host_config = HostConfig(
+            f"h{number}",
+            "amman",
+            f"127.0.0.1:{free_port()}",
+            "127.0.0.1:1",
+            "",
+            f"127.0.0.1:{free_port()}",
+        )
+        dependencies = HostDependencies(
+            self.catalog, NativeDialect(), lambda state: {}, self.session
+        )
+        host = GatewayHost(
+            host_config, dependencies, Clock(), random.Random(number)
+        )
+        host.log.fd = self.null_fd
+        task = asyncio.create_task(host.run())
+
+        async def stop() -> None:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        self.stack.push_async_callback(stop)
+        return host
+
+
+class RateLimitTest(SeveralHostsCase):
+    async def test_hosts_together_exceed_the_rate_limit_of_an_upstream(
+        self,
+    ) -> None:
+        limit_per_s = 4.0
+        self.upstreams[0].rate_limits = (str(limit_per_s),)
+        await self.send_at_rate(40.0, 5_000.0)
+        self.assertEqual(set(self.statuses), {200})
+        allowed = (
+            MAX_LIMIT_FACTOR * limit_per_s * WINDOW_MS / MS_PER_S
+            + MAX_EXTRA_REQUESTS
+        )
+        arrivals = self.upstreams[0].arrivals
+        self.assertLessEqual(max_in_window(arrivals, WINDOW_MS), allowed)
+        self.assertGreater(len(self.upstreams[1].arrivals), len(arrivals))
+
+
+if __name__ == "__main__":
+    unittest.main()
