All hosts together keep the rate limit that an upstream names

Callers saw nothing yet; the upstream did: up to twice what the rule leaves it.

Cause: a bound over all hosts that no decision had as an input. Hosts learned the limit within half a second, mostly from probes, and placed requests by load alone; an upstream that gets little looks idle and is preferred.

Two hosts, the grantors of the upstream, grant single requests to all others from a token bucket each; a host asks by datagram before it sends, and at most once for a request that need not wait. Fixed parts for each host would be useless: at 1 a second the rule leaves 11 requests in 4 s for all hosts. A new grantor starts empty and one that lost the store grants half, so hosts that disagree for a while still keep the bound. A lost, late or repeated datagram never adds a request.

--- a/wigeongw/adapters/observation_codec.py
+++ b/wigeongw/adapters/observation_codec.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass
+import math
 import struct
 
 import xxhash
@@ -20,6 +21,9 @@
 SILENT_STRUCT = struct.Struct("!IB")
 SEEN_STRUCT = struct.Struct("!IBBBHHHB")
 ENDED_STRUCT = struct.Struct("!IBB")
+# Rate limits follow the other records, after a byte with their number. Hosts
+# of earlier versions ignore what follows the records that they know.
+LIMITED_STRUCT = struct.Struct("!IdH")
 SLOWDOWN_UNIT = 0.01
 MAX_UINT8 = 255
 MAX_UINT16 = 65_535
@@ -28,6 +32,7 @@
 COLD_KNOWN_FLAG = 2
 # Keeps a datagram small enough for one packet.
 MAX_RECORDS_PER_KIND = 50
+MAX_LIMITED_RECORDS = 10
 
 
 class ObservationError(WigeongwError):
@@ -89,6 +94,21 @@
     age_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class LimitedUpstream:
+    """An upstream with a rate limit.
+
+    Attributes:
+        key: hash of the upstream's identity.
+        per_s: requests per second that it takes from all hosts together.
+        age_ms: milliseconds since it named the limit.
+    """
+
+    key: int
+    per_s: float
+    age_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Observations:
     """The observations in one datagram."""
@@ -97,11 +117,14 @@
     ended: tuple[EndedRequests, ...] = ()
     sent: tuple[SentRequest, ...] = ()
     silent: tuple[SilentUpstream, ...] = ()
+    limited: tuple[LimitedUpstream, ...] = ()
 
     @property
     def is_empty(self) -> bool:
         """Whether there are no observations to send."""
-        return not (self.seen or self.ended or self.sent or self.silent)
+        return not (
+            self.seen or self.ended or self.sent or self.silent or self.limited
+        )
 
 
 def hash_identity(identity: str) -> int:
@@ -145,6 +168,7 @@
         SILENT_STRUCT.pack(record.key, min(MAX_UINT8, int(record.age_ms)))
         for record in included_silent
     )
+    parts.append(_pack_limited(observations.limited))
     return b"".join(parts)
 
 
@@ -190,9 +214,41 @@
             key, age_ms = SILENT_STRUCT.unpack_from(data, offset)
             silent.append(SilentUpstream(key, float(age_ms)))
             offset += SILENT_STRUCT.size
+        limited = _unpack_limited(data, offset)
     except struct.error as error:
         raise ObservationError(f"truncated datagram: {error}") from error
-    return Observations(tuple(seen), tuple(ended), tuple(sent), tuple(silent))
+    return Observations(
+        tuple(seen), tuple(ended), tuple(sent), tuple(silent), limited
+    )
+
+
+def _pack_limited(records: tuple[LimitedUpstream, ...]) -> bytes:
+    """Encode rate limits; nothing is added to a datagram without any."""
+    included = records[:MAX_LIMITED_RECORDS]
+    if not included:
+        return b""
+    packed = b"".join(
+        LIMITED_STRUCT.pack(
+            record.key,
+            record.per_s,
+            min(MAX_UINT16, max(0, int(record.age_ms))),
+        )
+        for record in included
+    )
+    return bytes([len(included)]) + packed
+
+
+def _unpack_limited(data: bytes, offset: int) -> tuple[LimitedUpstream, ...]:
+    """Decode rate limits; those with an invalid rate are left out."""
+    if offset >= len(data):
+        return ()
+    records = []
+    for index in range(data[offset]):
+        start = offset + 1 + index * LIMITED_STRUCT.size
+        key, per_s, age_ms = LIMITED_STRUCT.unpack_from(data, start)
+        if math.isfinite(per_s) and per_s >= 0.0:
+            records.append(LimitedUpstream(key, per_s, float(age_ms)))
+    return tuple(records)
 
 
 def _pack_seen(record: SeenLoad) -> bytes:
--- a/wigeongw/adapters/observation_codec_test.py
+++ b/wigeongw/adapters/observation_codec_test.py
@@ -1,5 +1,6 @@
 """Tests of the encoding and the size of datagrams."""
 
+from dataclasses import replace
 import unittest
 
 from hypothesis import given
@@ -9,6 +10,7 @@
 
 from wigeongw.adapters import observation_codec
 from wigeongw.adapters.observation_codec import EndedRequests
+from wigeongw.adapters.observation_codec import LimitedUpstream
 from wigeongw.adapters.observation_codec import ObservationError
 from wigeongw.adapters.observation_codec import Observations
 from wigeongw.adapters.observation_codec import SeenLoad
@@ -30,18 +32,29 @@
                 (seen_record(1), seen_record(2)),
                 (EndedRequests(3, 4, 5),),
                 (SentRequest(6, 7.0),),
+                limited=(LimitedUpstream(8, 1.2, 30.0),),
             )
         )
         decoded = observation_codec.decode(data, NOW)
         self.assertEqual(decoded.seen, (seen_record(1), seen_record(2)))
         self.assertEqual(decoded.ended, (EndedRequests(3, 4, 5),))
         self.assertEqual(decoded.sent, (SentRequest(6, 7.0),))
+        self.assertEqual(decoded.limited, (LimitedUpstream(8, 1.2, 30.0),))
+
+    def test_hosts_without_rate_limits_read_the_other_records(self) -> None:
+        without = Observations((seen_record(1),), (), (SentRequest(6, 7.0),))
+        limited = (LimitedUpstream(8, 1.2, 30.0),)
+        data = observation_codec.encode(without)
+        longer = observation_codec.encode(replace(without, limited=limited))
+        self.assertEqual(longer[: len(data)], data)
+        self.assertEqual(observation_codec.decode(data, NOW), without)
 
     def test_datagram_fits_into_one_packet(self) -> None:
         oversized = Observations(
             tuple(seen_record(n) for n in range(200)),
             tuple(EndedRequests(n, 300, 300) for n in range(200)),
             tuple(SentRequest(n, 300.0) for n in range(200)),
+            limited=tuple(LimitedUpstream(n, 9.0, 3e5) for n in range(200)),
         )
         self.assertLess(len(observation_codec.encode(oversized)), 1_400)
 
--- a/wigeongw/decisions/placement.py
+++ b/wigeongw/decisions/placement.py
@@ -71,12 +71,16 @@
 REMOTE_SUBSET_SIZE = 16
 # Added to the score of an upstream outside that subset.
 OUTSIDE_SUBSET_PENALTY_MS = 4.0
+# Added to the score of an upstream with a rate limit: it is in need, and a
+# grantor has to be asked first.
+RATE_LIMITED_PENALTY_MS = 4.0
 
 
 class Unavailability(Enum):
     """Why an upstream cannot take a request; NONE when it can."""
 
     SILENT = "silent"
+    RATE_LIMITED = "rate_limited"
     COLD = "cold"
     MAYBE_COLD = "maybe_cold"
     FULL = "full"
@@ -103,6 +107,8 @@
         silent: whether it failed to respond and has not responded since.
         in_subset: whether it is in the subset of upstreams that this host
             prefers.
+        rate_limited: whether it limits the rate of its requests.
+        may_be_granted: whether a grantor may have a request to it left.
     """
 
     target: Target
@@ -116,6 +122,8 @@
     has_cold_token: bool
     silent: bool = False
     in_subset: bool = True
+    rate_limited: bool = False
+    may_be_granted: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -251,7 +259,7 @@
 
     Returns:
         The placement, or None when every upstream is full, over its cold
-        start rate limit or too slow.
+        start rate limit, over its own rate limit or too slow.
     """
     below_knee: list[Placement] = []
     above_knee: list[Placement] = []
@@ -259,6 +267,8 @@
     for candidate in exclude_silent(candidates):
         if candidate.doubtful and not candidate.has_cold_token:
             continue
+        if candidate.rate_limited and not candidate.may_be_granted:
+            continue
         if skip_slow and expected_slowdown(candidate, now) > MAX_SLOWDOWN:
             continue
         expected = estimate_ms(candidate, work_ms, utilization, now)
@@ -294,6 +304,8 @@
     """Return why an upstream would not be chosen now, for the log."""
     if candidate.silent:
         return Unavailability.SILENT
+    if candidate.rate_limited and not candidate.may_be_granted:
+        return Unavailability.RATE_LIMITED
     if candidate.doubtful and not candidate.has_cold_token:
         return (
             Unavailability.COLD
@@ -431,6 +443,8 @@
         score += OTHER_ZONE_PENALTY_MS
     if not candidate.in_subset:
         score += OUTSIDE_SUBSET_PENALTY_MS
+    if candidate.rate_limited:
+        score += RATE_LIMITED_PENALTY_MS
     return score + rng.random()
 
 
--- a/wigeongw/gateway/asgi.py
+++ b/wigeongw/gateway/asgi.py
@@ -48,7 +48,7 @@
         limited = sum(
             1
             for state in self.state.targets.values()
-            if state.rate_limit and state.rate_limit.per_s is not None
+            if state.limit_per_s is not None
         )
         lines = [
             f"peak_memory_bytes {peak}",
--- a/wigeongw/gateway/forwarder.py
+++ b/wigeongw/gateway/forwarder.py
@@ -21,6 +21,7 @@
 from wigeongw.gateway.placer import Placer
 from wigeongw.gateway.state import GatewayState
 from wigeongw.gateway.upstream_sender import Attempt
+from wigeongw.gateway.upstream_sender import RATE_LIMITED
 from wigeongw.gateway.upstream_sender import Request
 from wigeongw.gateway.upstream_sender import UpstreamSender
 
@@ -39,6 +40,7 @@
         may_have_run: whether a failed attempt may have run the request.
         in_flight: unfinished attempts and their placements.
         hedged: whether hedging was already considered.
+        rate_limited: whether the last attempt was denied by a rate limit.
     """
 
     sends: int = 0
@@ -48,6 +50,17 @@
         default_factory=dict
     )
     hedged: bool = False
+    rate_limited: bool = False
+
+    def forget(self, unsent: Attempt) -> None:
+        """Take back an attempt that did not reach its upstream.
+
+        An upstream at its rate limit may take the request a moment later.
+        """
+        self.sends -= 1
+        self.rate_limited = unsent.reason == RATE_LIMITED
+        if self.rate_limited:
+            self.tried.discard(unsent.placement.target.identity)
 
 
 class Forwarder:
@@ -99,6 +112,8 @@
                 continue
             if self._is_final(request, done):
                 return done
+            if not done.sent:
+                progress.forget(done)
             if done.outcome is not Outcome.NOT_RUN:
                 progress.may_have_run = True
             if progress.in_flight:
@@ -255,6 +270,7 @@
             request.deadline_at,
             request.overdue,
             frozenset(progress.tried),
+            progress.rate_limited,
         )
 
     def _log_placement(
@@ -262,8 +278,8 @@
     ) -> None:
         state = self.state.targets.get(placement.target.identity)
         sample = state.sample if state else None
-        limit = state.rate_limit if state else None
-        is_limited = limit is not None and limit.per_s is not None
+        limit_per_s = state.limit_per_s if state else None
+        limit = state.rate_limit if state and limit_per_s is not None else None
         now = self.state.clock.now()
         self.state.log.add(
             "place",
@@ -279,8 +295,8 @@
             waiting=sample.waiting if sample else None,
             slowdown=sample.slowdown if sample else None,
             risk=state.risk.decayed(now) if state else None,
-            limit_per_s=limit.per_s if limit else None,
-            limit_age_ms=now - limit.at_ms if limit and is_limited else None,
+            limit_per_s=limit_per_s,
+            limit_age_ms=now - limit.at_ms if limit else None,
         )
 
     def _record_not_resent(
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -26,10 +26,12 @@
 from wigeongw.gateway.follower import Follower
 from wigeongw.gateway.forwarder import Forwarder
 from wigeongw.gateway.observation_exchange import ObservationExchange
+from wigeongw.gateway.peer_socket import PeerSocket
 from wigeongw.gateway.placer import Placer
 from wigeongw.gateway.prober import Prober
 from wigeongw.gateway.proxy_app import ProxyApp
 from wigeongw.gateway.rate_limit_reader import RateLimitReader
+from wigeongw.gateway.rate_limiter import RateLimiter
 from wigeongw.gateway.registrar import Registrar
 from wigeongw.gateway.relay import RelayApp
 from wigeongw.gateway.relayed_catalog import RelayedCatalog
@@ -84,7 +86,8 @@
         self.state = GatewayState(host_config, clock, rng, self.log, Metrics())
         self.dialect = dependencies.dialect
         self.pool = UpstreamPool(clock, self.dialect.names.request_id)
-        self.observations = ObservationExchange(self.state)
+        self.peer_socket = PeerSocket(self.state.metrics)
+        self.observations = ObservationExchange(self.state, self.peer_socket)
         rate_limits = RateLimitReader(self.state, self.dialect.names)
         self.prober = Prober(
             self.state,
@@ -112,6 +115,7 @@
             self.dialect,
             self.observations,
             rate_limits,
+            RateLimiter(self.state, self.peer_socket),
         )
         forwarder = Forwarder(self.state, placer, sender)
         self.proxy_app = ProxyApp(self.state, forwarder, self.dialect)
@@ -142,10 +146,9 @@
             stack.callback(self.prober.close)
             for function in self._task_functions():
                 self._start_task(stack, function)
+            stack.callback(self.observations.close)
             if self.state.host_config.peer:
-                await self.observations.open(
-                    self.state.host_config.peer, stack
-                )
+                await self.peer_socket.open(self.state.host_config.peer, stack)
             server = self._listen(stack)
             self.log.add(
                 "host",
--- a/wigeongw/gateway/observation_exchange.py
+++ b/wigeongw/gateway/observation_exchange.py
@@ -11,20 +11,21 @@
 
 import asyncio
 from collections.abc import Iterable
-from contextlib import AsyncExitStack
 from typing import Any
-from typing import cast
 
 from wigeongw.adapters import observation_codec
 from wigeongw.adapters.observation_codec import EndedRequests
+from wigeongw.adapters.observation_codec import LimitedUpstream
 from wigeongw.adapters.observation_codec import ObservationError
 from wigeongw.adapters.observation_codec import Observations
 from wigeongw.adapters.observation_codec import SeenLoad
 from wigeongw.adapters.observation_codec import SentRequest
 from wigeongw.adapters.observation_codec import SilentUpstream
-from wigeongw.core.addresses import split_address
 from wigeongw.core.clock import seconds
+from wigeongw.core.site import RateLimit
 from wigeongw.decisions import fan_out
+from wigeongw.gateway.peer_socket import PeerSocket
+from wigeongw.gateway.peer_socket import UdpAddress
 from wigeongw.gateway.state import GatewayState
 from wigeongw.gateway.target_state import TargetState
 
@@ -46,16 +47,13 @@
 MAX_REMOTE_HOSTS = 32
 
 
-class ObservationExchange(asyncio.DatagramProtocol):
-    """Sends and receives observations on one UDP socket.
+class ObservationExchange:
+    """Sends and receives observations over the UDP socket of the host.
 
     Attributes:
-        transport: the open socket; None before it is open.
-        target_by_key: upstreams by the hash used in datagrams.
         local_addresses: peers in this host's availability zone.
         remote_addresses: peers in other availability zones.
-        peer_ips: addresses from which datagrams are accepted.
-        peers_basis: hosts and upstreams that the peer lists reflect.
+        peers_basis: hosts that the peer lists reflect.
         pending_probe_samples: upstreams with a new sample from a probe.
         pending_response_samples: upstreams with a new sample from a response.
         pending_remote_samples: probe samples to send to other zones.
@@ -65,14 +63,13 @@
         flush_count: number of flushes so far.
     """
 
-    def __init__(self, state: GatewayState) -> None:
+    def __init__(self, state: GatewayState, socket: PeerSocket) -> None:
         self.state = state
-        self.transport: asyncio.DatagramTransport | None = None
-        self.target_by_key: dict[int, TargetState] = {}
-        self.local_addresses: list[tuple[str, int]] = []
-        self.remote_addresses: list[tuple[str, int]] = []
-        self.peer_ips: frozenset[str] = frozenset()
-        self.peers_basis: tuple[Any, Any] = (None, None)
+        self.socket = socket
+        socket.default_handler = self.on_datagram
+        self.local_addresses: list[UdpAddress] = []
+        self.remote_addresses: list[UdpAddress] = []
+        self.peers_basis: Any = None
         self.pending_probe_samples: dict[str, TargetState] = {}
         self.pending_response_samples: dict[str, TargetState] = {}
         self.pending_remote_samples: dict[str, TargetState] = {}
@@ -81,24 +78,10 @@
         self.flush_timer: asyncio.TimerHandle | None = None
         self.flush_count = 0
 
-    async def open(self, address: str, stack: AsyncExitStack) -> None:
-        """Open the socket and register its closing with an exit stack.
-
-        Raises:
-            OSError: when the address cannot be bound.
-        """
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=split_address(address)
-        )
-        stack.callback(self.close)
-
     def close(self) -> None:
-        """Cancel the scheduled flush and close the socket."""
+        """Cancel the scheduled flush."""
         if self.flush_timer is not None:
             self.flush_timer.cancel()
-        if self.transport is not None:
-            self.transport.close()
 
     def report_probe(self, target: TargetState) -> None:
         """Schedule a report of a probe's sample."""
@@ -132,18 +115,9 @@
         self.pending_silent[key] = probe_started_at
         self._schedule_flush(BATCH_DELAY_MS)
 
-    # Callbacks of the transport
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport."""
-        self.transport = cast(asyncio.DatagramTransport, transport)
-
-    def datagram_received(
-        self, data: bytes, addr: tuple[str | Any, int]
-    ) -> None:
+    def on_datagram(self, data: bytes, address: UdpAddress) -> None:
         """Apply a datagram if it comes from a known host."""
-        self._update_peers()
-        if addr[0] not in self.peer_ips:
+        if address[0] not in self.state.peer_ips:
             return
         try:
             observations = observation_codec.decode(
@@ -154,14 +128,10 @@
             return
         self._apply(observations)
 
-    def error_received(self, exc: Exception) -> None:
-        """Count datagrams that the network did not deliver."""
-        self.state.metrics.count("sightings_unsent_total")
-
     # Batching and sending
 
     def _schedule_flush(self, max_delay_ms: float) -> None:
-        if self.transport is None:
+        if not self.socket.is_open:
             return
         loop = asyncio.get_running_loop()
         flush_at = loop.time() + seconds(max_delay_ms)
@@ -175,19 +145,24 @@
         now = self.state.clock.now()
         self.state.metrics.count("sightings_heard_total")
         for seen in observations.seen:
-            target = self.target_by_key.get(seen.key)
+            target = self.state.targets_by_key.get(seen.key)
             if target is not None:
                 target.update_sample(seen.sample)
         for sent in observations.sent:
-            target = self.target_by_key.get(sent.key)
+            target = self.state.targets_by_key.get(sent.key)
             if target is not None:
                 target.record_peer_send(now - sent.age_ms)
         for silent in observations.silent:
-            target = self.target_by_key.get(silent.key)
+            target = self.state.targets_by_key.get(silent.key)
             if target is not None:
                 target.peer_reported_silent_at = now - silent.age_ms
+        for limited in observations.limited:
+            target = self.state.targets_by_key.get(limited.key)
+            if target is not None:
+                at_ms = now - limited.age_ms
+                target.learn_rate_limit(RateLimit(limited.per_s, at_ms))
         for ended in observations.ended:
-            target = self.target_by_key.get(ended.key)
+            target = self.state.targets_by_key.get(ended.key)
             if target is None:
                 continue
             for _ in range(ended.failed):
@@ -217,8 +192,10 @@
         recipients = fan_out.choose_recipients(
             self.local_addresses, bool(silent), self.state.rng
         )
+        limited = self._limited_upstreams(seen, now)
         self._send(
-            Observations(seen, self._take_outcomes(), sent, silent), recipients
+            Observations(seen, self._take_outcomes(), sent, silent, limited),
+            recipients,
         )
         seen = ()
         self.flush_count += 1
@@ -227,7 +204,26 @@
             self.pending_remote_samples = {}
         if len(self.remote_addresses) > MAX_REMOTE_HOSTS:
             seen, sent = (), ()
-        self._send(Observations(seen, (), sent, silent), self.remote_addresses)
+        limited = self._limited_upstreams(seen, now)
+        self._send(
+            Observations(seen, (), sent, silent, limited),
+            self.remote_addresses,
+        )
+
+    def _limited_upstreams(
+        self, seen: tuple[SeenLoad, ...], now: float
+    ) -> tuple[LimitedUpstream, ...]:
+        """Return the rate limits in force of the upstreams in a report."""
+        limited = []
+        for record in seen:
+            target = self.state.targets_by_key.get(record.key)
+            limit = target.rate_limit if target is not None else None
+            if limit is not None and limit.per_s is not None:
+                age_ms = now - limit.at_ms
+                limited.append(
+                    LimitedUpstream(record.key, limit.per_s, age_ms)
+                )
+        return tuple(limited)
 
     def _probe_samples(
         self, targets: dict[str, TargetState], now: float
@@ -255,13 +251,13 @@
         )
 
     def _send(
-        self, observations: Observations, addresses: Iterable[tuple[str, int]]
+        self, observations: Observations, addresses: Iterable[UdpAddress]
     ) -> None:
-        if self.transport is None or observations.is_empty:
+        if observations.is_empty:
             return
         data = observation_codec.encode(observations)
         for address in addresses:
-            self.transport.sendto(data, address)
+            self.socket.send(data, address)
 
     def _take_outcomes(self) -> tuple[EndedRequests, ...]:
         """Return and reset the outcomes of this host's requests."""
@@ -276,30 +272,17 @@
         return tuple(outcomes)
 
     def _update_peers(self) -> None:
-        """Update the peer lists when the hosts or upstreams changed."""
-        view = self.state.view
-        basis = (view.hosts, view.targets)
-        previous = self.peers_basis
-        if previous[0] is basis[0] and previous[1] is basis[1]:
+        """Update the peer lists when the hosts changed."""
+        hosts = self.state.view.hosts
+        if self.peers_basis is hosts:
             return
-        self.peers_basis = basis
-        host_config = self.state.host_config
-        others = [
-            h
-            for h in view.hosts.values()
-            if h.name != host_config.name and h.peer
-        ]
-        local = [
-            h
-            for h in others
-            if h.availability_zone == host_config.availability_zone
-        ]
-        self.local_addresses = [split_address(h.peer) for h in local]
-        self.remote_addresses = [
-            split_address(h.peer) for h in others if h not in local
-        ]
-        self.peer_ips = frozenset(split_address(h.peer)[0] for h in others)
-        self.target_by_key = {
-            observation_codec.hash_identity(identity): state
-            for identity, state in self.state.targets.items()
-        }
+        self.peers_basis = hosts
+        own_zone = self.state.host_config.availability_zone
+        self.local_addresses = []
+        self.remote_addresses = []
+        for name, address in self.state.peer_addresses.items():
+            is_local = hosts[name].availability_zone == own_zone
+            addresses = (
+                self.local_addresses if is_local else self.remote_addresses
+            )
+            addresses.append(address)
--- a/wigeongw/gateway/placer.py
+++ b/wigeongw/gateway/placer.py
@@ -4,12 +4,14 @@
 from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 import heapq
 
 from wigeongw.core.clock import seconds
 from wigeongw.core.site import Route
 from wigeongw.decisions import placement as placements
 from wigeongw.decisions import queue_order
+from wigeongw.decisions import rate_limit
 from wigeongw.decisions import wait_limits
 from wigeongw.decisions.placement import Placement
 from wigeongw.decisions.queue_order import QueuePosition
@@ -52,6 +54,8 @@
         deadline_at: when the client must have a response.
         overdue: whether it can no longer meet its latency objective.
         tried: identities of the upstreams it was already sent to.
+        skip_limited: whether to skip upstreams with a rate limit, as one of
+            them has just denied the request. It then waits for no other.
     """
 
     request_id: str
@@ -61,6 +65,7 @@
     deadline_at: float
     overdue: bool = False
     tried: frozenset[str] = frozenset()
+    skip_limited: bool = False
 
 
 class Placer:
@@ -100,7 +105,9 @@
             placement = await self.try_place(request)
             if placement is not None:
                 return self._check_deadline(request, placement)
-        return await self._wait(request, queue, entry)
+        return await self._wait(
+            replace(request, skip_limited=False), queue, entry
+        )
 
     async def try_place(self, request: PlacementRequest) -> Placement | None:
         """Probe upstreams and choose one, without waiting in the queue.
@@ -135,6 +142,7 @@
             state
             for state in targets
             if state.target.identity not in request.tried
+            and not (request.skip_limited and state.limit_per_s is not None)
         ]
         if not states:
             return None
@@ -185,11 +193,16 @@
     def retry_after_ms(self, service: str, work_ms: float) -> float:
         """Return after how many milliseconds a client should retry."""
         usable_targets = self.state.usable_targets(service)
-        total_slots = sum(max(1, s.target.slots) for s in usable_targets)
+        total_slots = sum(
+            rate_limit.usable_slots(
+                max(1, state.target.slots), state.limit_per_s, work_ms
+            )
+            for state in usable_targets
+        )
         host_count = max(1, len(self.state.view.hosts))
         return wait_limits.retry_after(
             self.queue_length(service),
-            total_slots // host_count,
+            int(total_slots // host_count),
             work_ms,
             self.state.rng,
         )
@@ -207,12 +220,15 @@
         if len(queue.entries) >= wait_limits.MAX_QUEUE_LENGTH:
             raise self._refused_error(request, "queue_full")
         wait_until = self._queue_deadline(request)
+        ahead = sum(1 for other in queue.entries if other < entry)
+        self._check_rate_limits(request, ahead, wait_until)
         heapq.heappush(queue.entries, entry)
         try:
             while self.state.clock.now() < wait_until:
                 await asyncio.sleep(seconds(QUEUE_POLL_INTERVAL_MS))
                 if not queue.is_first(entry):
                     continue
+                self._check_rate_limits(request, 0, wait_until)
                 placement = await self.try_place(request)
                 if placement is not None:
                     return self._check_deadline(request, placement)
@@ -224,6 +240,37 @@
             request, "all_full" if has_targets else "no_upstream"
         )
 
+    def _check_rate_limits(
+        self, request: PlacementRequest, ahead: int, wait_until: float
+    ) -> None:
+        """Refuse a request that no upstream may take before its latest start.
+
+        Args:
+            request: the request.
+            ahead: queued requests that are served before it.
+            wait_until: its latest start, monotonic clock.
+
+        Raises:
+            RefusedError: when all upstreams have a rate limit, and a request
+                may be sent to any of them only after that.
+        """
+        states = self.state.usable_targets(request.service)
+        if any(state.limit_per_s is None for state in states):
+            return
+        now = self.state.clock.now()
+        directory = self.state.grantor_directory
+        waits_ms = [directory.wait_ms(state, now) for state in states]
+        if not waits_ms:
+            return
+        wait_ms = rate_limit.earliest_grant_ms(waits_ms, ahead)
+        if now + wait_ms >= wait_until:
+            spread = 1.0 + self.state.rng.random()
+            raise self._refused_error(
+                request,
+                "rate_limited",
+                max(wait_limits.MIN_RETRY_AFTER_MS, wait_ms * spread),
+            )
+
     def _queue_deadline(self, request: PlacementRequest) -> float:
         work_ms = self.state.work_estimate(
             request.route, request.service
@@ -248,13 +295,17 @@
         return placement
 
     def _refused_error(
-        self, request: PlacementRequest, reason: str
+        self,
+        request: PlacementRequest,
+        reason: str,
+        retry_after_ms: float | None = None,
     ) -> RefusedError:
         usable_targets = self.state.usable_targets(request.service)
         work_ms = self.state.work_estimate(
             request.route, request.service
         ).mean_ms
-        retry_after_ms = self.retry_after_ms(request.service, work_ms)
+        if retry_after_ms is None:
+            retry_after_ms = self.retry_after_ms(request.service, work_ms)
         now = self.state.clock.now()
         self.state.log.add(
             "refuse",
--- a/wigeongw/gateway/rate_limit_reader.py
+++ b/wigeongw/gateway/rate_limit_reader.py
@@ -48,15 +48,23 @@
         except RateLimitHeaderError as error:
             self._log_invalid(target, request_id, error)
             return
-        known = target.rate_limit
-        known_per_s = known.per_s if known is not None else None
-        if known is None and per_s is None:
+        before = target.limit_per_s
+        if per_s is None and not self._may_end(target, response_kind):
             return
         target.rate_limit = RateLimit(per_s, self.state.clock.now())
-        if per_s != known_per_s:
-            self._log_change(
-                target, known_per_s, per_s, response_kind, request_id
-            )
+        if per_s != before:
+            self._log_change(target, before, per_s, response_kind, request_id)
+
+    @staticmethod
+    def _may_end(target: TargetState, response_kind: ResponseKind) -> bool:
+        """Return whether a response without a limit means that it ended.
+
+        An upstream that rejects a request is in need, whatever it names.
+        """
+        return (
+            target.rate_limit is not None
+            and response_kind is not ResponseKind.REJECTED
+        )
 
     def _log_change(
         self,
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -4,6 +4,8 @@
 from dataclasses import replace
 import random
 
+from wigeongw.adapters.observation_codec import hash_identity
+from wigeongw.core.addresses import split_address
 from wigeongw.core.clock import Clock
 from wigeongw.core.metrics import Metrics
 from wigeongw.core.site import HostConfig
@@ -24,6 +26,7 @@
 from wigeongw.decisions.routing import Split
 from wigeongw.decisions.site_view import SiteView
 from wigeongw.gateway.decision_log import DecisionLog
+from wigeongw.gateway.grantor_directory import GrantorDirectory
 from wigeongw.gateway.target_state import TargetState
 
 # Older samples do not count for the utilization of a service.
@@ -43,6 +46,11 @@
             service.
         typical_timeouts: usual timeout of the clients, by route name.
         retry_budgets: this host's retry budget, by service.
+        targets_by_key: the same states, by the hash used in datagrams.
+        peer_addresses: address for datagrams of each other host, by name.
+        peer_ips: IP addresses from which datagrams are accepted.
+        grantor_directory: the hosts that grant requests to upstreams with a
+            rate limit.
         max_hosts_by_zone: the largest number of hosts seen at a time, by
             availability zone.
         limits_basis: inputs from which this host's limits were computed.
@@ -68,6 +76,12 @@
         self.splits: dict[str, Split] = {}
         self.targets: dict[str, TargetState] = {}
         self.targets_by_service: dict[str, list[TargetState]] = {}
+        self.targets_by_key: dict[int, TargetState] = {}
+        self.peer_addresses: dict[str, tuple[str, int]] = {}
+        self.peer_ips: frozenset[str] = frozenset()
+        self.grantor_directory = GrantorDirectory(
+            host_config.name, clock.now()
+        )
         self.work_estimates: dict[tuple[str, str], ServiceTimeEstimate] = {}
         self.typical_timeouts: dict[str, TypicalTimeout] = {}
         self.retry_budgets: dict[str, HostRetryBudget] = {}
@@ -226,17 +240,22 @@
             state.cold_bucket.refill(now) >= 1.0,
             state.silent,
             state.in_subset,
+            state.limit_per_s is not None,
+            self.grantor_directory.wait_ms(state, now) <= 0.0,
         )
 
     def utilization(self, service: str) -> float:
         """Return the share of a service's slots in use, 0 to 1.
 
         Only recent samples of the upstreams that this host considers count.
-        Without any, a default is returned.
+        Those with a rate limit have free slots that nobody may use, and count
+        only if there are no others. Without any, a default is returned.
         """
         now = self.clock.now()
         used = slots = 0
-        for state in self.preferred_targets(service):
+        preferred = self.preferred_targets(service)
+        unlimited = [s for s in preferred if s.limit_per_s is None]
+        for state in unlimited or preferred:
             sample = state.sample
             if (
                 sample is None
@@ -260,6 +279,13 @@
         # The maximum is kept because a host that disappeared may return before
         # this host learns of it.
         self.max_hosts_by_zone |= Counter(zones)
+        self.peer_addresses = {
+            host.name: split_address(host.peer)
+            for host in self.view.hosts.values()
+            if host.name != self.host_config.name and host.peer
+        }
+        self.peer_ips = frozenset(ip for ip, _ in self.peer_addresses.values())
+        self.grantor_directory.set_hosts(self.view.hosts, self.clock.now())
 
     def _apply_configuration(self) -> None:
         configuration = self.view.configuration
@@ -290,6 +316,10 @@
         for state in self.targets.values():
             name = state.target.service
             self.targets_by_service.setdefault(name, []).append(state)
+        self.targets_by_key = {
+            hash_identity(identity): state
+            for identity, state in self.targets.items()
+        }
         return removed
 
     def _choose_subsets(self) -> None:
--- a/wigeongw/gateway/target_state.py
+++ b/wigeongw/gateway/target_state.py
@@ -47,6 +47,8 @@
         in_subset: it belongs to the upstreams that this host prefers.
         rate_limit: the request rate that it accepts; None if it has never
             named a limit.
+        denied_until: by grantor, the time until which it is not asked for a
+            request to this upstream.
     """
 
     target: Target
@@ -69,6 +71,7 @@
     misdirected: bool = False
     in_subset: bool = True
     rate_limit: RateLimit | None = None
+    denied_until: dict[str, float] = field(default_factory=dict)
 
     @property
     def silent(self) -> bool:
@@ -83,6 +86,16 @@
             self.backoff_ms > 0.0 or self.peer_reported_silent_at > sample_at
         )
 
+    @property
+    def limit_per_s(self) -> float | None:
+        """The rate limit in force; None when it names none."""
+        return self.rate_limit.per_s if self.rate_limit is not None else None
+
+    def learn_rate_limit(self, limit: RateLimit) -> None:
+        """Store what the upstream said about its limit, if that is newer."""
+        if self.rate_limit is None or limit.at_ms > self.rate_limit.at_ms:
+            self.rate_limit = limit
+
     def update_sample(self, sample: LoadSample) -> None:
         """Store a load sample, unless the current one is newer."""
         latest = self.sample
--- a/wigeongw/gateway/upstream_sender.py
+++ b/wigeongw/gateway/upstream_sender.py
@@ -15,6 +15,7 @@
 from wigeongw.decisions.placement import Placement
 from wigeongw.gateway.observation_exchange import ObservationExchange
 from wigeongw.gateway.rate_limit_reader import RateLimitReader
+from wigeongw.gateway.rate_limiter import RateLimiter
 from wigeongw.gateway.state import GatewayState
 from wigeongw.gateway.target_state import TargetState
 from wigeongw.ports.dialect import Dialect
@@ -26,6 +27,8 @@
 HTTP_MULTIPLE_CHOICES = 300
 # The upstream's deadline is this much earlier than the client's.
 UPSTREAM_MARGIN_MS = 2.0
+# Reason of an attempt that the rate limit of the upstream did not allow.
+RATE_LIMITED = "rate_limited"
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,9 +88,11 @@
         dialect: Dialect,
         observations: ObservationExchange,
         rate_limits: RateLimitReader,
+        rate_limiter: RateLimiter,
     ) -> None:
         self.state = state
         self.rate_limits = rate_limits
+        self.rate_limiter = rate_limiter
         self.pool = pool
         self.dialect = dialect
         self.observations = observations
@@ -100,11 +105,14 @@
         """Send a request to the upstream of a placement, at most once."""
         state = self.state.targets.get(placement.target.identity)
         if state is None:
-            return Attempt(placement, None, Outcome.NOT_RUN, False, "gone")
+            return _unsent(placement, "gone")
         now = self.state.clock.now()
         if placement.doubtful and not state.cold_bucket.take(now):
-            return Attempt(placement, None, Outcome.NOT_RUN, False, "cold")
-        sent_at = now
+            return _unsent(placement, "cold")
+        admission = await self.rate_limiter.admit(state, request.request_id)
+        if admission is None:
+            return _unsent(placement, RATE_LIMITED)
+        sent_at = self.state.clock.now()
         state.in_flight_since.append(sent_at)
         self.observations.report_send(state)
         slowdown = state.sample.slowdown if state.sample else 1.0
@@ -112,7 +120,12 @@
             connection = await self.pool.acquire(placement.target)
             if not self.state.is_usable(state):
                 self.pool.release(placement.target, connection)
-                return Attempt(placement, None, Outcome.NOT_RUN, False, "gone")
+                return _unsent(placement, "gone")
+            if not admission.is_valid(
+                state.limit_per_s is not None, self.state.clock.now()
+            ):
+                self.pool.release(placement.target, connection)
+                return _unsent(placement, RATE_LIMITED)
             reply = await connection.exchange(
                 self._request_head(request, placement),
                 request.body,
@@ -241,5 +254,10 @@
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
+def _unsent(placement: Placement, reason: str) -> Attempt:
+    """Return the attempt for a request of which no byte was sent."""
+    return Attempt(placement, None, Outcome.NOT_RUN, False, reason)
+
+
 def _header_line(name: str, value: str) -> bytes:
     return f"{name}: {value}".encode("latin-1")
