Permits keep the rate limits that upstreams name

Holders report with a permit what the response said; the grantor of the pool takes each request to a limited upstream from the same token bucket as the platform's hosts do, and grants permits for one request only. It grants half without the fence, hands the limit over with its views, and a host without a grantor keeps a part on its floor.

--- a/wigeongw/adapters/http_upstream_client.py
+++ b/wigeongw/adapters/http_upstream_client.py
@@ -9,11 +9,17 @@
 import json
 
 import aiohttp
+import logbook
 from multidict import CIMultiDict
 
+from wigeongw.adapters.rate_limit_header import RateLimitHeaderError
+from wigeongw.adapters.rate_limit_header import read_rate_limit
+from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
+from wigeongw.core.log_throttle import LogThrottle
 from wigeongw.core.records import Outcome
 from wigeongw.core.records import Upstream
+from wigeongw.decisions.messages import LimitReport
 from wigeongw.decisions.messages import Verdict
 from wigeongw.decisions.retry import IDEMPOTENT_METHODS
 from wigeongw.ports.errors import BodyError
@@ -28,6 +34,7 @@
 NOT_RUN = "Wigeongw-Not-Run"
 START = "Wigeongw-Start"
 LEAVING = "Wigeongw-Leaving"
+RATE_LIMIT = "Wigeongw-Rate-Limit"
 REPORT_PATH = "/.well-known/wigeongw/load"
 
 CONNECT_TIMEOUT_MS = 500.0
@@ -35,6 +42,10 @@
 REPORT_HEADERS_BYTES = 400
 KEEP_ALIVE_TIMEOUT_MS = 15_000.0
 MAX_HEADER_BYTES = 65_536
+# An upstream may send an invalid value in each of its responses.
+INVALID_VALUE_LOG_INTERVAL_MS = 10_000.0
+
+log = logbook.Logger("upstream")
 
 # aiohttp raises these errors only before a connection is established, so no
 # byte of the request was sent. After any other error the outcome is unknown.
@@ -78,8 +89,11 @@
 class HttpReply:
     """A response whose body can be read once."""
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
+    def __init__(
+        self, response: aiohttp.ClientResponse, limit: LimitReport | None
+    ) -> None:
         self.response = response
+        self.limit = limit
         self.status = response.status
         self.headers: Headers = tuple(response.headers.items())
         self.start = response.headers.get(START, "")
@@ -113,15 +127,20 @@
     Attributes:
         session: session with reused connections.
         unpooled_session: session with a new connection for each request.
+        invalid_throttle: bounds the lines about invalid rate limits of each
+            upstream.
     """
 
     def __init__(
         self,
         session: aiohttp.ClientSession,
         unpooled_session: aiohttp.ClientSession,
+        clock: Clock,
     ) -> None:
         self.session = session
         self.unpooled_session = unpooled_session
+        self.clock = clock
+        self.invalid_throttle = LogThrottle(INVALID_VALUE_LOG_INTERVAL_MS)
 
     async def call(self, upstream: Upstream, call: Call) -> HttpReply:
         """Send a request and wait for the response headers."""
@@ -143,7 +162,28 @@
             raise UpstreamError(
                 f"exchange broke: {error!r}", Outcome.UNKNOWN, Verdict.FAILED
             ) from error
-        return self._check_response(response, call)
+        limit = self._read_limit(response, upstream, call)
+        return self._check_response(response, call, limit)
+
+    def _read_limit(
+        self,
+        response: aiohttp.ClientResponse,
+        upstream: Upstream,
+        call: Call,
+    ) -> LimitReport | None:
+        """Read the rate limit; an invalid value is logged and ignored."""
+        headers = ((n.lower(), v) for n, v in response.raw_headers)
+        try:
+            return LimitReport(read_rate_limit(RATE_LIMIT.lower(), headers))
+        except RateLimitHeaderError as error:
+            if self.invalid_throttle.allows(upstream.name, self.clock.now()):
+                log.warning(
+                    "Ignoring the rate limit of {} in response to {}: {}.",
+                    upstream.name,
+                    call.identity,
+                    error,
+                )
+            return None
 
     async def report(
         self, upstream: Upstream, max_bytes: int, timeout_ms: float
@@ -199,7 +239,9 @@
 
     @staticmethod
     def _check_response(
-        response: aiohttp.ClientResponse, call: Call
+        response: aiohttp.ClientResponse,
+        call: Call,
+        limit: LimitReport | None,
     ) -> HttpReply:
         """Raise if the response is to another request or declares not-run."""
         echoed_id = response.headers.get(REQUEST_ID)
@@ -211,5 +253,7 @@
         if response.status in SHED_STATUSES and NOT_RUN in response.headers:
             start = response.headers.get(START, "")
             response.release()
-            raise ShedError(start, LEAVING in response.headers)
-        return HttpReply(response)
+            # An upstream that sheds is in need, whatever it names.
+            named = limit if limit and limit.per_s is not None else None
+            raise ShedError(start, LEAVING in response.headers, named)
+        return HttpReply(response, limit)
--- a/wigeongw/adapters/peer_codec.py
+++ b/wigeongw/adapters/peer_codec.py
@@ -1,6 +1,9 @@
 """Converts messages between entry hosts to protobuf and back."""
 
 from collections.abc import Sequence
+import math
+
+from google.protobuf.message import Message
 
 from wigeongw.adapters.peer_pb import peer_pb2 as pb
 from wigeongw.core.records import Revision
@@ -12,6 +15,7 @@
 from wigeongw.decisions.messages import GrantorMessage
 from wigeongw.decisions.messages import HeldPermit
 from wigeongw.decisions.messages import HolderMessage
+from wigeongw.decisions.messages import LimitReport
 from wigeongw.decisions.messages import Pressure
 from wigeongw.decisions.messages import Register
 from wigeongw.decisions.messages import Registered
@@ -109,6 +113,7 @@
             i.cold,
             i.pressed,
             i.queued_ms,
+            i.single_use,
         )
         for i in batch.grants
     )
@@ -140,6 +145,7 @@
                 u.limit,
                 u.start,
                 now - u.seen_ago_ms,
+                _unpack_rate(u, "rate_limit_per_s"),
             )
             for u in heartbeat.upstreams
         ),
@@ -189,6 +195,7 @@
                 limit=u.limit,
                 start=u.start,
                 seen_ago_ms=now - u.seen_at,
+                rate_limit_per_s=u.rate_limit_per_s,
             )
             for u in heartbeat.upstreams
         ],
@@ -219,6 +226,7 @@
             verdict=int(message.verdict),
             served_ms=message.served_ms,
             start=message.start,
+            limit=_pack_limit_report(message.limit),
         )
     elif isinstance(message, Cancel):
         batch.cancels.add(pool=message.pool, number=message.number)
@@ -248,6 +256,7 @@
             cold=message.cold,
             pressed=message.pressed,
             queued_ms=message.queued_ms,
+            single_use=message.single_use,
         )
     elif isinstance(message, Pressure):
         batch.pressures.add(pool=message.pool, queued_ms=message.queued_ms)
@@ -275,4 +284,29 @@
         verdict,
         item.served_ms,
         item.start,
+        _unpack_limit_report(item),
     )
+
+
+def _pack_limit_report(limit: LimitReport | None) -> pb.LimitReport | None:
+    return None if limit is None else pb.LimitReport(per_s=limit.per_s)
+
+
+def _unpack_limit_report(item: pb.Return) -> LimitReport | None:
+    if not item.HasField("limit"):
+        return None
+    return LimitReport(_unpack_rate(item.limit, "per_s"))
+
+
+def _unpack_rate(message: Message, field: str) -> float | None:
+    """Return an optional rate.
+
+    Raises:
+        PeerError: if the rate is negative or not finite.
+    """
+    if not message.HasField(field):
+        return None
+    rate = float(getattr(message, field))
+    if not (math.isfinite(rate) and rate >= 0.0):
+        raise PeerError(f"invalid rate limit {rate}")
+    return rate
--- a/wigeongw/daemon/dispatcher.py
+++ b/wigeongw/daemon/dispatcher.py
@@ -21,6 +21,7 @@
 from wigeongw.daemon.permit_manager import NotAdmittedError
 from wigeongw.daemon.permit_manager import PermitManager
 from wigeongw.decisions import retry
+from wigeongw.decisions.messages import LimitReport
 from wigeongw.decisions.messages import Verdict
 from wigeongw.decisions.retry import RetryBudget
 from wigeongw.decisions.sharing import Held
@@ -252,7 +253,7 @@
 
         def release_permit(verdict: Verdict) -> None:
             self.permit_manager.release(
-                attempt_id, verdict, state.head_ms, state.start
+                attempt_id, verdict, state.head_ms, state.start, state.limit
             )
 
         try:
@@ -265,6 +266,7 @@
             reply = await self.upstream_client.call(upstream, call)
             state.head_ms = self.clock.now() - started_at
             state.start = reply.start
+            state.limit = reply.limit
             exchange = Exchange(reply, held, release_permit)
             if reply.leaving:
                 self.on_upstream_leaving(held.upstream)
@@ -277,6 +279,7 @@
             state.verdict = error.verdict
             if isinstance(error, ShedError):
                 state.start = error.start
+                state.limit = error.limit
                 if error.leaving:
                     self.on_upstream_leaving(held.upstream)
             raise
@@ -426,12 +429,14 @@
         head_ms: time from sending the request to the response head; 0 before.
         start: start identity that the upstream reported; empty when unknown.
         verdict: reported with the permit when the attempt fails.
+        limit: what the response said about a rate limit; None without one.
     """
 
     def __init__(self) -> None:
         self.head_ms = 0.0
         self.start = ""
         self.verdict = Verdict.FAILED
+        self.limit: LimitReport | None = None
 
 
 def _with_earlier_failures(
@@ -452,7 +457,9 @@
 def _routing_reason(held: Held, attempt: int) -> str:
     if attempt > 1:
         return f"retry-{attempt - 1}"
-    return "cold" if held.cold else "permit"
+    if held.cold:
+        return "cold"
+    return "rate-limited" if held.single_use else "permit"
 
 
 def _content_length(headers: Headers) -> int | None:
--- a/wigeongw/daemon/entry_host.py
+++ b/wigeongw/daemon/entry_host.py
@@ -215,7 +215,9 @@
         )
         await stack.enter_async_context(keep_alive_session)
         await stack.enter_async_context(single_use_session)
-        return HttpUpstreamClient(keep_alive_session, single_use_session)
+        return HttpUpstreamClient(
+            keep_alive_session, single_use_session, self.clock
+        )
 
     def _set_addresses(
         self,
--- a/wigeongw/daemon/permit_manager.py
+++ b/wigeongw/daemon/permit_manager.py
@@ -30,6 +30,7 @@
 from wigeongw.decisions.messages import Cancel
 from wigeongw.decisions.messages import GrantorMessage
 from wigeongw.decisions.messages import HolderMessage
+from wigeongw.decisions.messages import LimitReport
 from wigeongw.decisions.messages import Register
 from wigeongw.decisions.messages import Renew
 from wigeongw.decisions.messages import Return
@@ -143,6 +144,7 @@
         verdict: Verdict,
         served_ms: float = 0.0,
         start: str = "",
+        limit: LimitReport | None = None,
     ) -> None:
         """Release the permit of a request and report the result.
 
@@ -152,12 +154,16 @@
             served_ms: time to the response head; 0 when none arrived.
             start: start identity that the upstream reported; empty when
                 unknown.
+            limit: what the response said about a rate limit; None without a
+                response.
         """
         holder = self.holders_by_request.pop(request, None)
         if holder is None:
             return
         now = self.clock.now()
-        self._apply(holder.done(request, verdict, served_ms, start, now))
+        self._apply(
+            holder.done(request, verdict, served_ms, start, now, limit)
+        )
 
     def set_site(self, site: SiteState) -> None:
         """Update holders and grantors to a new state of the site.
--- a/wigeongw/decisions/grantor.py
+++ b/wigeongw/decisions/grantor.py
@@ -21,6 +21,7 @@
 from wigeongw.decisions.messages import Ask
 from wigeongw.decisions.messages import Cancel
 from wigeongw.decisions.messages import Grant
+from wigeongw.decisions.messages import LimitReport
 from wigeongw.decisions.messages import Pressure
 from wigeongw.decisions.messages import Register
 from wigeongw.decisions.messages import Registered
@@ -30,6 +31,8 @@
 from wigeongw.decisions.messages import Revoke
 from wigeongw.decisions.messages import ToHolder
 from wigeongw.decisions.messages import Verdict
+from wigeongw.decisions.rate_limit import GrantTerms
+from wigeongw.decisions.rate_limit import LimitGrantor
 from wigeongw.decisions.warm_up import Ramp
 from wigeongw.settings.schema import ColdStartSettings
 from wigeongw.settings.schema import PermitSettings
@@ -50,6 +53,8 @@
         start: the upstream's start identity; empty if unknown.
         seen_at: when the grantor last received a result or a load report
             from the upstream, local monotonic milliseconds.
+        rate_limit_per_s: requests per second that the upstream takes from all
+            hosts together; None when it names no limit.
     """
 
     pool: str
@@ -58,6 +63,7 @@
     limit: int
     start: str
     seen_at: float
+    rate_limit_per_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -71,6 +77,8 @@
             milliseconds.
         checked_at: when a load report was last requested or a result last
             arrived, monotonic milliseconds.
+        rate_limit: grants requests within the rate limit of the upstream;
+            None when it names no limit.
     """
 
     upstream: Upstream
@@ -79,6 +87,7 @@
     in_use: int = 0
     seen_at: float = 0.0
     checked_at: float = float("-inf")
+    rate_limit: LimitGrantor | None = None
 
 
 @dataclass(slots=True)
@@ -191,7 +200,9 @@
         for name, upstream in by_name.items():
             tracked = self.upstreams.get(name)
             if tracked is None:
-                self.upstreams[name] = self._track_upstream(upstream, slots)
+                self.upstreams[name] = self._track_upstream(
+                    upstream, slots, now
+                )
                 continue
             is_leaving = upstream.state is HostState.LEAVING
             if is_leaving and tracked.upstream.state is HostState.LIVE:
@@ -238,6 +249,7 @@
                 tracked.ramp.limit,
                 tracked.start,
                 tracked.seen_at,
+                tracked.rate_limit.terms.per_s if tracked.rate_limit else None,
             )
             for name, tracked in self.upstreams.items()
         ]
@@ -369,7 +381,7 @@
     # Internals
 
     def _track_upstream(
-        self, upstream: Upstream, slots: int
+        self, upstream: Upstream, slots: int, now: float
     ) -> TrackedUpstream:
         """Return the initial state of an upstream from its last view."""
         view = self.known.get(upstream.name)
@@ -384,7 +396,36 @@
         in_use = sum(
             p.upstream == upstream.name for p in self.permits.values()
         )
-        return TrackedUpstream(upstream, ramp, start, in_use, seen_at)
+        tracked = TrackedUpstream(upstream, ramp, start, in_use, seen_at)
+        if view is not None and view.rate_limit_per_s is not None:
+            terms = self._grant_terms(view.rate_limit_per_s)
+            tracked.rate_limit = LimitGrantor(terms, False, now)
+        return tracked
+
+    def _grant_terms(self, per_s: float) -> GrantTerms:
+        """Return this grantor's part of a rate limit.
+
+        Without the fence another host may grant permits of the pool, too.
+        """
+        return GrantTerms(per_s, 1, may_be_replaced=not self.fenced)
+
+    def _note_rate_limit(
+        self, tracked: TrackedUpstream, limit: LimitReport, now: float
+    ) -> list[ToHolder]:
+        """Apply what a response said about the upstream's rate limit.
+
+        Returns:
+            Revocations of the permits that could be used more than once.
+        """
+        if limit.per_s is None:
+            tracked.rate_limit = None
+            return []
+        terms = self._grant_terms(limit.per_s)
+        if tracked.rate_limit is not None:
+            tracked.rate_limit.set_terms(terms, now)
+            return []
+        tracked.rate_limit = LimitGrantor(terms, True, now)
+        return self._revocations(tracked.upstream.name)
 
     def _is_expired(self, permit: Permit, now: float) -> bool:
         """Return whether the slot of a permit can be reclaimed."""
@@ -428,6 +469,10 @@
         elif returned.verdict is Verdict.RESTARTED:
             tracked.ramp = warm_up.cold(before.slots, self.cold_start)
         messages = self._note_start_identity(tracked, returned.start)
+        if returned.limit is not None:
+            messages.extend(
+                self._note_rate_limit(tracked, returned.limit, now)
+            )
         if before.warm and not tracked.ramp.warm:
             messages.extend(self._revocations(returned.upstream))
         return messages
@@ -442,6 +487,7 @@
         tracked.start = start
         if not previous:
             return []
+        tracked.rate_limit = None
         was_warm = tracked.ramp.warm
         tracked.ramp = warm_up.cold(tracked.ramp.slots, self.cold_start)
         return self._revocations(tracked.upstream.name) if was_warm else []
@@ -495,7 +541,7 @@
                 continue
             self.queue.remove_at(position)
             messages.append(self._grant(queued, tracked, now))
-            if tracked.in_use >= tracked.ramp.limit:
+            if not self._has_room(tracked, now):
                 available.remove(tracked)
         return messages
 
@@ -513,12 +559,19 @@
         return [
             s
             for s in self.upstreams.values()
-            if s.in_use < s.ramp.limit
+            if self._has_room(s, now)
             and s.upstream.state is HostState.LIVE
             and now >= s.ramp.closed_until
             and (s.ramp.warm or may_grant_cold)
         ]
 
+    @staticmethod
+    def _has_room(tracked: TrackedUpstream, now: float) -> bool:
+        """Return whether slots and rate limit allow one more request."""
+        if tracked.in_use >= tracked.ramp.limit:
+            return False
+        return tracked.rate_limit is None or tracked.rate_limit.has_grant(now)
+
     def _choose_upstream(
         self, ask: Ask, available: list[TrackedUpstream]
     ) -> TrackedUpstream | None:
@@ -541,6 +594,9 @@
             queued.holder, name, expires_at, queued.ends_at
         )
         tracked.in_use += 1
+        if tracked.rate_limit is not None:
+            terms = self._grant_terms(tracked.rate_limit.terms.per_s)
+            tracked.rate_limit.grant(terms, now)
         grant = Grant(
             self.pool,
             queued.ask.number,
@@ -549,5 +605,6 @@
             not tracked.ramp.warm,
             bool(self.queue),
             self.queue.oldest_wait_ms(now),
+            tracked.rate_limit is not None,
         )
         return ToHolder(queued.holder, grant)
--- a/wigeongw/decisions/holder.py
+++ b/wigeongw/decisions/holder.py
@@ -21,6 +21,7 @@
 from wigeongw.decisions.messages import Grant
 from wigeongw.decisions.messages import GrantorMessage
 from wigeongw.decisions.messages import HeldPermit
+from wigeongw.decisions.messages import LimitReport
 from wigeongw.decisions.messages import Pressure
 from wigeongw.decisions.messages import Register
 from wigeongw.decisions.messages import Registered
@@ -30,6 +31,8 @@
 from wigeongw.decisions.messages import Revoke
 from wigeongw.decisions.messages import ToGrantor
 from wigeongw.decisions.messages import Verdict
+from wigeongw.decisions.rate_limit import GrantTerms
+from wigeongw.decisions.rate_limit import LimitGrantor
 from wigeongw.decisions.sharing import Effect
 from wigeongw.decisions.sharing import Held
 from wigeongw.decisions.sharing import PoolView
@@ -76,6 +79,8 @@
             upstream.
         start_interval_ms: moving average of the time between two requests
             that leave the queue.
+        floor_limits: this host's part of the rate limit of an upstream while
+            its pool has no grantor.
     """
 
     def __init__(self, config: SharingConfig) -> None:
@@ -91,6 +96,7 @@
         self.deadlines_checked_at = float("-inf")
         self.last_start_at = 0.0
         self.start_interval_ms = 0.0
+        self.floor_limits: dict[str, LimitGrantor] = {}
 
     # Calls of the daemon
 
@@ -151,6 +157,7 @@
         served_ms: float,
         start: str,
         now: float,
+        limit: LimitReport | None = None,
     ) -> list[Effect]:
         """Process the end of a started request.
 
@@ -160,6 +167,8 @@
             served_ms: time to the end of the response; 0 without one.
             start: the upstream's start identity; empty if unknown.
             now: current time.
+            limit: what the response said about a rate limit; None without a
+                response.
         """
         busy = self.busy.pop(request, None)
         if busy is None:
@@ -172,8 +181,15 @@
         if pool is None:
             return []
         returned = Return(
-            held.pool, held.number, held.upstream, verdict, served_ms, start
+            held.pool,
+            held.number,
+            held.upstream,
+            verdict,
+            served_ms,
+            start,
+            limit,
         )
+        self._learn_limit(held.upstream, limit, now)
         effects = self._reuse_or_return(pool, busy, returned, now)
         if verdict is Verdict.UNREACHABLE:
             effects.extend(self._back_off(pool, held.upstream, now))
@@ -340,6 +356,7 @@
             grant.cold,
             valid_until,
             ends_by,
+            grant.single_use,
         )
         if grant.pressed:
             pool.note_pressure(grant.queued_ms, now)
@@ -402,9 +419,9 @@
     def _extended(held: Held, permit_numbers: set[int], until: float) -> Held:
         """Return a permit with its new end of validity.
 
-        Permits for cold upstreams and revoked permits are not extended.
+        Permits that cannot be reused, and revoked ones, are not extended.
         """
-        if held.number not in permit_numbers or held.cold:
+        if held.number not in permit_numbers or not held.reusable:
             return held
         if held.valid_until == float("-inf"):
             return held
@@ -417,8 +434,8 @@
     ) -> list[Effect]:
         """Start the oldest matching request, or keep or return the permit.
 
-        A permit without a matching request is returned if its upstream is
-        cold or the pool is under pressure; else it is kept as idle.
+        A permit without a matching request is returned if it cannot be
+        reused or the pool is under pressure; else it is kept as idle.
         """
         queued = self._oldest_match(held)
         if queued is not None:
@@ -426,7 +443,7 @@
             self._record_start(now)
             start = self._start(queued.wanted, held)
             return [start, *self._balance_asks(now)]
-        if held.cold or pool.is_under_pressure(now):
+        if not held.reusable or pool.is_under_pressure(now):
             return [self._return_unused(pool, held)]
         pool.idle.append(IdlePermit(held, now))
         return []
@@ -452,13 +469,18 @@
         """Reuse, keep or return the permit of a finished request.
 
         A permit is returned if its request was not completed, its upstream
-        is cold, the permit is void, or older asks are queued at the grantor.
+        is cold or limits its request rate, the permit is void, or older asks
+        are queued at the grantor.
         """
         held = busy.held
+        names_limit = (
+            returned.limit is not None and returned.limit.per_s is not None
+        )
         reusable = (
             returned.verdict is Verdict.GOOD
             and not busy.is_floor
-            and not held.cold
+            and held.reusable
+            and not names_limit
             and self._is_usable(held, now)
         )
         if not reusable:
@@ -561,10 +583,12 @@
             for upstream in pool.view.floor:
                 if now < self.backoff_until.get(upstream, now):
                     continue
-                effects.extend(self._start_on_floor(pool, upstream))
+                effects.extend(self._start_on_floor(pool, upstream, now))
         return effects
 
-    def _start_on_floor(self, pool: PoolState, upstream: str) -> list[Effect]:
+    def _start_on_floor(
+        self, pool: PoolState, upstream: str, now: float
+    ) -> list[Effect]:
         """Start the oldest matching request; one at a time per upstream."""
         if any(b.held.upstream == upstream for b in self.busy.values()):
             return []
@@ -574,7 +598,7 @@
             self.serial, pool.view.pool, upstream, False, forever, forever
         )
         queued = self._oldest_match(held)
-        if queued is None:
+        if queued is None or not self._may_use_floor(upstream, now):
             return []
         del self.waiting[queued.wanted.request]
         return [self._start(queued.wanted, held, is_floor=True)]
@@ -585,6 +609,36 @@
         self.busy[wanted.request] = BusyPermit(held, wanted.ends_at, is_floor)
         return Start(wanted.request, held)
 
+    # Rate limits
+
+    def _learn_limit(
+        self, upstream: str, limit: LimitReport | None, now: float
+    ) -> None:
+        """Remember the limit of an upstream for the time without a grantor."""
+        if limit is None:
+            return
+        if limit.per_s is None:
+            self.floor_limits.pop(upstream, None)
+            return
+        terms = self._floor_terms(limit.per_s)
+        known = self.floor_limits.get(upstream)
+        if known is None:
+            self.floor_limits[upstream] = LimitGrantor(terms, False, now)
+        elif known.terms != terms:
+            known.set_terms(terms, now)
+
+    def _floor_terms(self, per_s: float) -> GrantTerms:
+        """Return this host's part of a limit while there is no grantor.
+
+        An upstream is the floor of as many hosts as it has slots, and the
+        grantor may still be reachable from others.
+        """
+        return GrantTerms(per_s, self.config.slots, may_be_replaced=True)
+
+    def _may_use_floor(self, upstream: str, now: float) -> bool:
+        limit = self.floor_limits.get(upstream)
+        return limit is None or limit.grant(limit.terms, now) <= 0.0
+
     # Maintenance of permits
 
     def _maintain(self, pool: PoolState, now: float) -> list[Effect]:
--- a/wigeongw/decisions/local_strategies.py
+++ b/wigeongw/decisions/local_strategies.py
@@ -1,13 +1,15 @@
 """Sharing strategies that use only the local state of one entry host.
 
 They serve as baselines for benchmarks and as a fallback in the settings. None
-of them limits the load on an upstream during its cold start.
+of them limits the load on an upstream during its cold start, or keeps the
+rate limit that an upstream names.
 """
 
 from collections.abc import Sequence
 
 from wigeongw.core.identifiers import rank_by_rendezvous
 from wigeongw.decisions.messages import GrantorMessage
+from wigeongw.decisions.messages import LimitReport
 from wigeongw.decisions.messages import Verdict
 from wigeongw.decisions.sharing import Effect
 from wigeongw.decisions.sharing import Held
@@ -84,6 +86,7 @@
         served_ms: float,
         start: str,
         now: float,
+        limit: LimitReport | None = None,
     ) -> list[Effect]:
         """Count down the upstream's requests in flight."""
         upstream = self.busy.pop(request, None)
@@ -196,6 +199,7 @@
         served_ms: float,
         start: str,
         now: float,
+        limit: LimitReport | None = None,
     ) -> list[Effect]:
         """Give the free slot to the oldest queued request."""
         super().done(request, verdict, served_ms, start, now)
--- a/wigeongw/decisions/messages.py
+++ b/wigeongw/decisions/messages.py
@@ -57,6 +57,18 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class LimitReport:
+    """What a response said about the request rate of its upstream.
+
+    Attributes:
+        per_s: requests per second that the upstream takes from all hosts
+            together; None when the response named no limit.
+    """
+
+    per_s: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class Return:
     """Returns a permit with the result of its request.
@@ -66,6 +78,8 @@
             permit.
         served_ms: time to the end of the response; 0 without a response.
         start: the upstream's start identity; empty if unknown.
+        limit: what the response said about a rate limit; None without a
+            response.
     """
 
     pool: str
@@ -74,6 +88,7 @@
     verdict: Verdict = Verdict.UNUSED
     served_ms: float = 0.0
     start: str = ""
+    limit: LimitReport | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +131,8 @@
         cold: whether the upstream is in its cold start.
         pressed: whether other asks are still queued.
         queued_ms: how long the oldest of these asks has waited.
+        single_use: whether the permit is for one request only, as the
+            upstream limits its request rate.
     """
 
     pool: str
@@ -125,6 +142,7 @@
     cold: bool = False
     pressed: bool = False
     queued_ms: float = 0.0
+    single_use: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/wigeongw/decisions/rate_limit.py
+++ b/wigeongw/decisions/rate_limit.py
@@ -130,6 +130,16 @@
         self.bucket.tokens = 1.0 if settled else 0.0
         self.denied = 0
 
+    def set_terms(self, terms: GrantTerms, now: float) -> None:
+        """Apply changed terms; unused grants are kept up to the capacity."""
+        if terms != self.terms:
+            self.terms = terms
+            self.bucket = self.bucket.carry_over_to(_new_bucket(terms, now))
+
+    def has_grant(self, now: float) -> bool:
+        """Return whether the next request would be granted."""
+        return self.bucket.refill(now) >= 1.0
+
     def grant(self, terms: GrantTerms, now: float) -> float:
         """Decide about one request.
 
@@ -137,9 +147,7 @@
             0 when it is granted, else the milliseconds after which it is
             worth asking again.
         """
-        if terms != self.terms:
-            self.terms = terms
-            self.bucket = self.bucket.carry_over_to(_new_bucket(terms, now))
+        self.set_terms(terms, now)
         if self.bucket.take(now):
             self.denied = 0
             return 0.0
--- a/wigeongw/decisions/rate_limit_test.py
+++ b/wigeongw/decisions/rate_limit_test.py
@@ -184,7 +184,7 @@
 
 class GrantorChoiceTest(unittest.TestCase):
     def test_grantors_are_few_and_in_the_zone_of_the_upstream(self) -> None:
-        cases = (
+        cases: tuple[tuple[list[str], list[str], int, set[str]], ...] = (
             (["a", "b", "c"], ["x", "y"], 2, {"a", "b", "c"}),
             (["a"], ["x", "y"], 2, {"a", "x", "y"}),
             ([], ["x"], 1, {"x"}),
@@ -212,7 +212,7 @@
         self.assertEqual(len(set(before) & set(after)), 1)
 
     def test_order_to_ask(self) -> None:
-        cases = (
+        cases: tuple[tuple[str, str, dict[str, float], set[str]], ...] = (
             ("another host asks both", "h9", {}, {"a", "b"}),
             ("denied ones are left out", "h9", {"a": 10.0}, {"b"}),
             ("a denial ends", "h9", {"a": 5.0}, {"a", "b"}),
--- a/wigeongw/decisions/sharing.py
+++ b/wigeongw/decisions/sharing.py
@@ -15,6 +15,7 @@
 
 from wigeongw.core.errors import WigeongwError
 from wigeongw.decisions.messages import GrantorMessage
+from wigeongw.decisions.messages import LimitReport
 from wigeongw.decisions.messages import ToGrantor
 from wigeongw.decisions.messages import Verdict
 from wigeongw.settings.schema import PermitSettings
@@ -61,6 +62,8 @@
         valid_until: no request may start with the permit from then on.
         ends_by: latest deadline of a request that uses the permit; enforced
             for cold upstreams only.
+        single_use: whether it is for one request only, as the upstream limits
+            its request rate.
     """
 
     number: int
@@ -69,6 +72,12 @@
     cold: bool
     valid_until: float
     ends_by: float
+    single_use: bool = False
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the holder may keep it for a later request."""
+        return not (self.cold or self.single_use)
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,6 +137,7 @@
         served_ms: float,
         start: str,
         now: float,
+        limit: LimitReport | None = None,
     ) -> list[Effect]:
         """Process the end of a started request.
 
@@ -137,6 +147,8 @@
             served_ms: time to the end of the response; 0 without one.
             start: the upstream's start identity; empty if unknown.
             now: current time.
+            limit: what the response said about a rate limit; None without a
+                response.
         """
 
     def heard(
--- a/wigeongw/decisions/trace.py
+++ b/wigeongw/decisions/trace.py
@@ -68,6 +68,7 @@
         messages.Cancel,
         messages.Grant,
         messages.HeldPermit,
+        messages.LimitReport,
         messages.Pressure,
         messages.Register,
         messages.Registered,
--- a/wigeongw/gateway/rate_limit_reader.py
+++ b/wigeongw/gateway/rate_limit_reader.py
@@ -3,6 +3,7 @@
 from wigeongw.adapters.rate_limit_header import RateLimitHeaderError
 from wigeongw.adapters.rate_limit_header import read_rate_limit
 from wigeongw.adapters.upstream_connection import BufferedReply
+from wigeongw.core.log_throttle import LogThrottle
 from wigeongw.core.site import RateLimit
 from wigeongw.gateway.state import GatewayState
 from wigeongw.gateway.target_state import TargetState
@@ -17,14 +18,14 @@
     """Records the rate limits that upstreams name to this host.
 
     Attributes:
-        invalid_logged_at: by identity of the upstream, when an invalid value
-            was last logged, monotonic clock.
+        invalid_throttle: bounds the lines about invalid values of each
+            upstream.
     """
 
     def __init__(self, state: GatewayState, names: HeaderNames) -> None:
         self.state = state
         self.header_name = names.rate_limit
-        self.invalid_logged_at: dict[str, float] = {}
+        self.invalid_throttle = LogThrottle(INVALID_VALUE_LOG_INTERVAL_MS)
 
     def read(
         self,
@@ -98,16 +99,8 @@
     ) -> None:
         self.state.metrics.count("rate_limits_invalid_total")
         identity = target.target.identity
-        now = self.state.clock.now()
-        logged_at = self.invalid_logged_at.get(identity, float("-inf"))
-        if now - logged_at < INVALID_VALUE_LOG_INTERVAL_MS:
+        if not self.invalid_throttle.allows(identity, self.state.clock.now()):
             return
-        self.invalid_logged_at = {
-            name: at_ms
-            for name, at_ms in self.invalid_logged_at.items()
-            if now - at_ms < INVALID_VALUE_LOG_INTERVAL_MS
-        }
-        self.invalid_logged_at[identity] = now
         self.state.log.add(
             "limit",
             id=request_id or None,
--- a/wigeongw/ports/errors.py
+++ b/wigeongw/ports/errors.py
@@ -2,6 +2,7 @@
 
 from wigeongw.core.errors import WigeongwError
 from wigeongw.core.records import Outcome
+from wigeongw.decisions.messages import LimitReport
 from wigeongw.decisions.messages import Verdict
 
 
@@ -44,13 +45,17 @@
     Attributes:
         start: identity of the upstream's start; empty if not reported.
         leaving: whether the upstream also declared that it is leaving.
+        limit: the rate limit that it named; None if it named none.
     """
 
-    def __init__(self, start: str, leaving: bool) -> None:
+    def __init__(
+        self, start: str, leaving: bool, limit: LimitReport | None = None
+    ) -> None:
         verdict = Verdict.UNUSED if leaving else Verdict.SHED
         super().__init__("turned away", Outcome.NOT_RUN, verdict)
         self.start = start
         self.leaving = leaving
+        self.limit = limit
 
 
 class BodyError(WigeongwError):
--- a/wigeongw/ports/upstream.py
+++ b/wigeongw/ports/upstream.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from wigeongw.core.records import Upstream
+from wigeongw.decisions.messages import LimitReport
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -36,12 +37,15 @@
     Attributes:
         start: identity of the upstream's start; empty if not reported.
         leaving: whether the upstream declared that it is leaving.
+        limit: what the response says about a rate limit; None when its value
+            is invalid.
     """
 
     status: int
     headers: Headers
     start: str
     leaving: bool
+    limit: LimitReport | None
 
     def body(self) -> AsyncIterator[bytes]:
         """Yield the body in chunks.
