--- a/wigeongw/gateway/rate_limit_test.py
+++ b/wigeongw/gateway/rate_limit_test.py
@@ -6,14 +6,18 @@
 import os
 import random
 import unittest
+from unittest import mock
 
 import aiohttp
 
 from wigeongw.adapters.memory_catalog import MemoryCatalog
 from wigeongw.adapters.native_dialect import NativeDialect
+from wigeongw.adapters.upstream_connection import UpstreamConnection
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import MS_PER_S
 from wigeongw.core.site import HostConfig
+from wigeongw.core.site import RateLimit
+from wigeongw.core.site import Target
 from wigeongw.gateway.host import GatewayHost
 from wigeongw.gateway.host import HostDependencies
 from wigeongw.gateway.host_case import configuration
@@ -28,6 +32,7 @@
 HOST_COUNT = 3
 SLOW = "0,0,4,1.5"
 FULL = "4,0,4,1"
+FREE = "0,0,4,1"
 
 
 def max_in_window(times: Sequence[float], window_ms: float) -> int:
@@ -71,6 +76,16 @@
             await asyncio.sleep(1.0 / per_s)
         self.statuses = await asyncio.gather(*tasks)
 
+    def assert_within_limit(self, per_s: float) -> None:
+        """Check what the first upstream received in any window."""
+        arrivals = self.upstreams[0].arrivals
+        if arrivals:
+            self.assertLessEqual(
+                max_in_window(arrivals, WINDOW_MS),
+                MAX_LIMIT_FACTOR * per_s * WINDOW_MS / MS_PER_S
+                + MAX_EXTRA_REQUESTS,
+            )
+
     async def _send(self, host: GatewayHost, number: int) -> int:
         url = f"http://{host.state.host_config.front}/read/{number}"
         headers = {"Host": "a.example", NAMES.request_id: f"id-{number}"}
@@ -113,12 +128,59 @@
         self.upstreams[1].load = SLOW
         await self.send_at_rate(40.0, 5_000.0)
         self.assertEqual(set(self.statuses), {200})
-        allowed = (
-            MAX_LIMIT_FACTOR * limit_per_s * WINDOW_MS / MS_PER_S
-            + MAX_EXTRA_REQUESTS
-        )
-        arrivals = self.upstreams[0].arrivals
-        self.assertLessEqual(max_in_window(arrivals, WINDOW_MS), allowed)
+        self.assert_within_limit(limit_per_s)
+
+    async def test_retries_of_failed_requests_exceed_the_rate_limit(
+        self,
+    ) -> None:
+        self.upstreams[0].rate_limits = ("3",)
+        self.upstreams[0].load = SLOW
+        self.upstreams[1].script = [b"CLOSE"]
+        await self.send_at_rate(30.0, 4_500.0)
+        self.assert_within_limit(3.0)
+        self.assertGreater(len(self.upstreams[0].arrivals), 0)
+
+    async def test_hedges_of_late_requests_exceed_the_rate_limit(self) -> None:
+        self.upstreams[0].rate_limits = ("3",)
+        self.upstreams[0].load = SLOW
+        self.upstreams[1].script = [*[b"PAUSE"] * 18, b"DONE"]
+        await self.send_at_rate(30.0, 4_500.0)
+        self.assert_within_limit(3.0)
+        self.assertGreater(len(self.upstreams[0].arrivals), 0)
+
+    async def test_queued_requests_exceed_a_limit_that_is_named_meanwhile(
+        self,
+    ) -> None:
+        for upstream in self.upstreams:
+            upstream.load = FULL
+        sending = asyncio.create_task(self.send_at_rate(100.0, 500.0))
+        await asyncio.sleep(0.3)
+        self.upstreams[0].rate_limits = ("2",)
+        self.upstreams[0].load = FREE
+        await sending
+        self.assert_within_limit(2.0)
+
+    async def test_requests_on_their_way_exceed_a_limit_heard_meanwhile(
+        self,
+    ) -> None:
+        host = self.hosts[0]
+        target = host.state.targets["one"]
+        pool = host.pool
+        acquire = pool.acquire
+
+        async def hear_limit_while_connecting(
+            found: Target,
+        ) -> UpstreamConnection:
+            connection = await acquire(found)
+            if found.identity == "one":
+                target.rate_limit = RateLimit(1.0, host.clock.now())
+            return connection
+
+        self.upstreams[1].load = SLOW
+        with mock.patch.object(pool, "acquire", hear_limit_while_connecting):
+            status = await self._send(host, 1)
+        self.assertEqual(status, 200)
+        self.assertEqual(self.upstreams[0].arrivals, [])
 
     async def test_limit_is_used_and_all_else_is_refused_at_once(self) -> None:
         limit_per_s = 6.0
--- a/wigeongw/model/simulation.py
+++ b/wigeongw/model/simulation.py
@@ -10,10 +10,12 @@
 from wigeongw.core.site import LoadSample
 from wigeongw.core.site import Target
 from wigeongw.decisions import queue_order
+from wigeongw.decisions import rate_limit
 from wigeongw.decisions import wait_limits
 from wigeongw.decisions.placement import Candidate
 from wigeongw.model.policies import PlacementContext
 from wigeongw.model.policies import POLICIES
+from wigeongw.model.simulated_limits import SimulatedLimits
 from wigeongw.model.simulated_upstream import Machines
 from wigeongw.model.simulated_upstream import SimulatedUpstream
 
@@ -38,6 +40,9 @@
         told: whether hosts inform each other of the requests that they send.
         returns: the maximum number of retries of a client after refusals.
         length_ms: time during which requests arrive.
+        limited: number of upstreams that limit their request rate.
+        limit_per_s: requests per second that each of them takes from all
+            hosts together.
         machines: behaviour of the upstreams.
     """
 
@@ -53,6 +58,8 @@
     told: bool = True
     returns: int = 0
     length_ms: float = 6_000.0
+    limited: int = 0
+    limit_per_s: float = 0.0
     machines: Machines = field(default_factory=Machines)
 
 
@@ -63,9 +70,11 @@
     Attributes:
         ended: counts by ``on time``, ``late``, ``refused``, ``failed`` and
             ``turned away``.
+        granted: when requests were granted, by upstream with a rate limit.
     """
 
     ended: Counter[str] = field(default_factory=Counter)
+    granted: dict[str, list[float]] = field(default_factory=dict)
 
     def share(self, *kinds: str) -> float:
         """Return the share of all requests that ended in one of these ways."""
@@ -120,6 +129,13 @@
             for name in self.upstreams
         }
         self.samples: dict[str, LoadSample] = {}
+        self.host_names = [f"h{n}" for n in range(load.hosts)]
+        self.limits = SimulatedLimits(
+            load.limit_per_s,
+            self.host_names,
+            frozenset(list(self.upstreams)[: load.limited]),
+        )
+        self.result.granted = self.limits.granted
 
     def run(self) -> Result:
         """Run the simulation until all requests have ended."""
@@ -167,7 +183,9 @@
     def _try_to_place(self, number: int) -> None:
         request = self.requests[number]
         upstream_name = self.policy(self._context(request))
-        if upstream_name is not None:
+        if upstream_name is not None and self.limits.admit(
+            self.host_names[request.host], upstream_name, self.now
+        ):
             self.waiting[request.host] -= 1
             self._send(number, request, upstream_name)
             return
@@ -190,7 +208,7 @@
 
     def _refuse(self, request: _Request) -> None:
         load = self.load
-        slots = load.upstreams * load.machines.slots // load.hosts
+        slots = int(self._usable_slots() // load.hosts)
         retry_after_ms = load.way_ms + wait_limits.retry_after(
             self.waiting[request.host], slots, load.work_ms, self.rng
         )
@@ -211,6 +229,14 @@
         )
         self._schedule(retry_at, "retry", number)
 
+    def _usable_slots(self) -> float:
+        load = self.load
+        limited_slots = rate_limit.usable_slots(
+            load.machines.slots, load.limit_per_s, load.work_ms
+        )
+        unlimited = load.upstreams - load.limited
+        return unlimited * load.machines.slots + load.limited * limited_slots
+
     def _is_overdue(self, request: _Request) -> bool:
         return queue_order.is_overdue(
             request.arrived - request.first_arrived,
@@ -294,4 +320,8 @@
             doubtful=False,
             may_probe=True,
             has_cold_token=True,
+            rate_limited=name in self.limits.upstreams,
+            may_be_granted=self.limits.may_be_granted(
+                self.host_names[host], name, self.now
+            ),
         )
--- a/wigeongw/model/simulation_test.py
+++ b/wigeongw/model/simulation_test.py
@@ -1,5 +1,6 @@
 """Tests what share of simulated requests is on time under each policy."""
 
+from dataclasses import replace
 import functools
 import unittest
 
@@ -99,6 +100,43 @@
         self.assertEqual(found.ended["refused"], 0, found.ended)
 
 
+class RateLimitedUpstreamsTest(unittest.TestCase):
+    """Most upstreams take a few requests per second, the others all else."""
+
+    LOAD = Load(
+        per_s=60.0,
+        upstreams=15,
+        deadline_ms=1_500.0,
+        returns=2,
+        limited=10,
+        limit_per_s=2.0,
+    )
+
+    def test_upstreams_without_a_limit_take_the_rest(self) -> None:
+        found = run_simulation(self.LOAD, "overdue_last")
+        self.assertGreaterEqual(found.share("on time"), 0.95, found.ended)
+
+    def test_limit_is_used_and_kept_while_there_is_demand(self) -> None:
+        for hosts in (3, 130):
+            load = replace(self.LOAD, hosts=hosts, limited=15)
+            for seed in SEEDS:
+                with self.subTest(hosts=hosts, seed=seed):
+                    simulation = Simulation(load, "overdue_last", seed)
+                    granted = simulation.run().granted
+                    self.assertEqual(len(granted), load.limited)
+                    total = sum(len(times) for times in granted.values())
+                    allowed = load.limited * load.limit_per_s
+                    self.assertGreaterEqual(
+                        total, 0.8 * allowed * load.length_ms / 1_000.0
+                    )
+                    for times in granted.values():
+                        most = max(
+                            sum(1 for t in times if s <= t < s + 4_000.0)
+                            for s in times
+                        )
+                        self.assertLessEqual(most, 6 * load.limit_per_s + 5)
+
+
 class LightLoadTest(unittest.TestCase):
     def test_nearly_all_requests_are_on_time(self) -> None:
         found = run_simulation(LIGHT_LOAD, "patient_probes")
