Reports of silent upstreams end by themselves and are not repeated

A report went to all hosts, the sample that clears it to 16 of a zone, so most hosts went on believing it; and each host repeated it for each failed probe. A report now counts for two seconds and is repeated once a second at most. The two new tests of the exchange fail with reports that never end and are always sent.

--- a/wigeongw/decisions/rate_limit.py
+++ b/wigeongw/decisions/rate_limit.py
@@ -27,8 +27,8 @@
 GRANTED_SHARE = 0.95
 # Share of its rate at which a grantor grants that may have been replaced.
 REPLACED_SHARE = 0.5
-# A grantor that last heard of the store this long ago may have been replaced.
-# Hosts that lose the store are replaced later than that.
+# A grantor that last heard of the store this long ago may have been replaced:
+# its entry there expires at about that time.
 MAX_VIEW_AGE_MS = 3_000.0
 # Capacity of a bucket in tokens, plus seconds of the upstream's whole limit.
 BURST_TOKENS = 1.5
--- a/wigeongw/gateway/observation_exchange.py
+++ b/wigeongw/gateway/observation_exchange.py
@@ -107,10 +107,15 @@
     ) -> None:
         """Schedule a report that an upstream did not answer a probe.
 
+        All hosts hear of it, so it is not repeated while another host's
+        report still counts.
+
         Args:
             target: the upstream.
             probe_started_at: start of the probe, monotonic clock.
         """
+        if target.is_known_silent(self.state.clock.now()):
+            return
         key = observation_codec.hash_identity(target.target.identity)
         self.pending_silent[key] = probe_started_at
         self._schedule_flush(BATCH_DELAY_MS)
--- a/wigeongw/gateway/observation_exchange_test.py
+++ b/wigeongw/gateway/observation_exchange_test.py
@@ -23,6 +23,7 @@
 from wigeongw.gateway.observation_exchange import ObservationExchange
 from wigeongw.gateway.peer_socket import PeerSocket
 from wigeongw.gateway.state import GatewayState
+from wigeongw.gateway.target_state import PEER_REPORT_TTL_MS
 
 ZONES = {"a": "amman", "b": "amman", "c": "irbid"}
 TARGET = Target("i-1", "s", "127.0.0.1:1", "amman", 4)
@@ -83,9 +84,36 @@
         await asyncio.sleep(0.1)
         for name in ("b", "c"):
             with self.subTest(host=name):
-                self.assertTrue(self.states[name].targets["i-1"].silent)
+                self.assertTrue(self.is_silent(name))
         self.probe("b", 1)
-        self.assertFalse(self.states["b"].targets["i-1"].silent)
+        self.assertFalse(self.is_silent("b"))
+
+    async def test_upstreams_stay_silent_where_no_sample_arrives(self) -> None:
+        state = self.states["a"]
+        target = state.targets["i-1"]
+        self.exchanges["a"].report_silent(target, state.clock.now())
+        await asyncio.sleep(0.1)
+        self.assertTrue(self.is_silent("c"))
+        later = PEER_REPORT_TTL_MS + 100.0
+        self.assertFalse(self.is_silent("c", later))
+
+    async def test_every_host_reports_the_same_silent_upstream_to_all(
+        self,
+    ) -> None:
+        for name in ZONES:
+            state = self.states[name]
+            target = state.targets["i-1"]
+            self.exchanges[name].report_silent(target, state.clock.now())
+            await asyncio.sleep(0.1)
+        self.assertEqual(
+            [exchange.flush_count for exchange in self.exchanges.values()],
+            [1, 0, 0],
+        )
+
+    def is_silent(self, name: str, after_ms: float = 0.0) -> bool:
+        state = self.states[name]
+        now = state.clock.now() + after_ms
+        return state.targets["i-1"].is_silent(now)
 
     async def test_every_probe_is_reported_within_the_zone(self) -> None:
         self.probe("a", 3)
--- a/wigeongw/gateway/prober.py
+++ b/wigeongw/gateway/prober.py
@@ -58,7 +58,7 @@
         """
         now = self.state.clock.now()
         states = list(targets)
-        all_silent = all(target.silent for target in states)
+        all_silent = all(target.is_silent(now) for target in states)
         tasks = []
         for target in states:
             fresh = placements.is_fresh(target.sample, now)
@@ -71,7 +71,7 @@
                     continue
                 task = asyncio.create_task(self._probe(target))
                 self.in_flight[target.target.identity] = task
-            if all_silent or not target.silent:
+            if all_silent or not target.is_silent(now):
                 tasks.append(task)
         if tasks:
             await asyncio.wait(tasks)
--- a/wigeongw/gateway/silent_upstream_test.py
+++ b/wigeongw/gateway/silent_upstream_test.py
@@ -20,7 +20,7 @@
         state = self.host.state.targets["one"]
         await self.host.prober.refresh([state])
         async with asyncio.timeout(TIMEOUT_S):
-            while not state.silent:
+            while not state.is_silent(self.host.clock.now()):
                 await asyncio.sleep(0.05)
                 await self.host.prober.refresh([state])
         await asyncio.sleep(BACKOFF_WAIT_S)
@@ -56,7 +56,7 @@
 
         state = self.host.state.targets["one"]
         async with asyncio.timeout(TIMEOUT_S):
-            while state.silent:
+            while state.is_silent(self.host.clock.now()):
                 await self.send("/read/1")
         status, _, _ = await self.send("/read/2")
         self.assertEqual(status, 200)
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -238,7 +238,7 @@
             is_cold or now - state.confirmed_warm_at > placements.WARM_TTL_MS,
             state.probe_bucket.refill(now) >= 1.0,
             state.cold_bucket.refill(now) >= 1.0,
-            state.silent,
+            state.is_silent(now),
             state.in_subset,
             state.limit_per_s is not None,
             self.grantor_directory.wait_ms(state, now) <= 0.0,
--- a/wigeongw/gateway/target_state.py
+++ b/wigeongw/gateway/target_state.py
@@ -19,6 +19,10 @@
 # A request of another host counts for this long, or until a newer load sample
 # includes it.
 PEER_SEND_TTL_MS = 150.0
+# How long another host's report counts that an upstream is silent.
+PEER_REPORT_TTL_MS = 2_000.0
+# Share of that time after which the report is repeated while it is silent.
+REPORT_AGAIN_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -73,19 +77,27 @@
     rate_limit: RateLimit | None = None
     denied_until: dict[str, float] = field(default_factory=dict)
 
-    @property
-    def silent(self) -> bool:
-        """Whether it stopped answering and has not answered since.
+    def is_silent(self, now: float) -> bool:
+        """Return whether it stopped answering and has not answered since.
 
         A failure seen by this host is cleared only by a response to this host,
         because an upstream may be unreachable from some hosts only. A failure
-        reported by another host is cleared by any newer sample.
+        reported by another host is cleared by any newer sample, and ends by
+        itself, because samples reach fewer hosts than such reports.
         """
+        if self.backoff_ms > 0.0:
+            return True
         sample_at = self.sample.at_ms if self.sample else float("-inf")
+        reported_at = self.peer_reported_silent_at
         return (
-            self.backoff_ms > 0.0 or self.peer_reported_silent_at > sample_at
+            reported_at > sample_at and now - reported_at < PEER_REPORT_TTL_MS
         )
 
+    def is_known_silent(self, now: float) -> bool:
+        """Return whether another host has lately reported it as silent."""
+        age_ms = now - self.peer_reported_silent_at
+        return age_ms < PEER_REPORT_TTL_MS * REPORT_AGAIN_SHARE
+
     @property
     def limit_per_s(self) -> float | None:
         """The rate limit in force; None when it names none."""
