--- a/wigeongw/decisions/host_limits_test.py
+++ b/wigeongw/decisions/host_limits_test.py
@@ -5,6 +5,7 @@
 import random
 import unittest
 
+from standins.counting import max_in_window
 from wigeongw.core.site import Service
 from wigeongw.core.site import SiteLimits
 from wigeongw.decisions import host_limits
@@ -16,16 +17,6 @@
 SERVICE = Service("dial-watch", "/health", 260, 3_000.0, 9.3)
 
 
-def max_in_window(times: list[float], window_ms: float) -> int:
-    times.sort()
-    maximum = first = 0
-    for last, now_ms in enumerate(times):
-        while times[first] <= now_ms - window_ms:
-            first += 1
-        maximum = max(maximum, last - first + 1)
-    return maximum
-
-
 def take_greedily(
     build: Callable[[], TokenBucket], hosts: int, ms: float
 ) -> list[float]:
--- a/wigeongw/decisions/permit_rate_limit_test.py
+++ b/wigeongw/decisions/permit_rate_limit_test.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 
+from standins.counting import max_in_window
 from wigeongw.core.records import Upstream
 from wigeongw.decisions.grantor import Grantor
 from wigeongw.decisions.grantor import Takeover
@@ -132,17 +133,6 @@
             )
 
 
-def max_in_window(times: list[float], start: float) -> int:
-    counted = [at_ms for at_ms in times if at_ms >= start]
-    return max(
-        (
-            sum(1 for at_ms in counted if first <= at_ms < first + WINDOW_MS)
-            for first in counted
-        ),
-        default=0,
-    )
-
-
 class PermitRateLimitTest(unittest.TestCase):
     def test_holders_keep_the_limit_and_use_it(self) -> None:
         for holders in (1, 12, 40):
@@ -153,7 +143,10 @@
                     site.limits["u1"] = per_s
                     named_at = site.now + 500.0
                     site.run(9_000.0, 2)
-                    most = max_in_window(site.sent["u1"], named_at)
+                    most = max_in_window(
+                        (t for t in site.sent["u1"] if t >= named_at),
+                        WINDOW_MS,
+                    )
                     self.assertLessEqual(most, 6.0 * per_s + 5.0)
                     used = [t for t in site.sent["u1"] if t >= named_at]
                     self.assertGreaterEqual(len(used), 0.8 * per_s * 8.5)
@@ -176,7 +169,9 @@
                 site.set_grantor(None)
                 isolated_at = site.now
                 site.run(9_000.0, 2)
-                most = max_in_window(site.sent["u1"], isolated_at)
+                most = max_in_window(
+                    (t for t in site.sent["u1"] if t >= isolated_at), WINDOW_MS
+                )
                 self.assertLessEqual(most, 6.0 * 3.0 + 5.0)
 
     def test_new_grantor_takes_the_limit_over(self) -> None:
--- a/wigeongw/decisions/rate_limit_test.py
+++ b/wigeongw/decisions/rate_limit_test.py
@@ -5,10 +5,10 @@
 """
 
 from collections import Counter
-from collections.abc import Sequence
 import random
 import unittest
 
+from standins.counting import max_in_window
 from wigeongw.core.clock import MS_PER_S
 from wigeongw.decisions import rate_limit
 from wigeongw.decisions.rate_limit import Admission
@@ -27,17 +27,6 @@
     return 1.5 * per_s * WINDOW_MS / MS_PER_S + 5.0
 
 
-def max_in_window(times: Sequence[float]) -> int:
-    ordered = sorted(times)
-    first = 0
-    maximum = 0
-    for last, at_ms in enumerate(ordered):
-        while ordered[first] <= at_ms - WINDOW_MS:
-            first += 1
-        maximum = max(maximum, last - first + 1)
-    return maximum
-
-
 def terms(
     per_s: float, hosts: int = 12, may_be_replaced: bool = False
 ) -> GrantTerms:
@@ -102,7 +91,8 @@
                 with self.subTest(hosts=hosts, per_s=per_s):
                     site = self.play(hosts, per_s, duration_ms)
                     self.assertLessEqual(
-                        max_in_window(site.sent), allowed_in_window(per_s)
+                        max_in_window(site.sent, WINDOW_MS),
+                        allowed_in_window(per_s),
                     )
                     expected = per_s * duration_ms / MS_PER_S
                     self.assertGreaterEqual(
@@ -122,7 +112,7 @@
                             grantor, grant_terms, 0.0, 12_000.0
                         )
                 self.assertLessEqual(
-                    max_in_window(sent), allowed_in_window(per_s)
+                    max_in_window(sent, WINDOW_MS), allowed_in_window(per_s)
                 )
 
     def test_grantors_that_change_every_second_keep_the_limit(self) -> None:
@@ -146,7 +136,7 @@
                         start += own_ms
                         settled = False
                 self.assertLessEqual(
-                    max_in_window(sent), allowed_in_window(per_s)
+                    max_in_window(sent, WINDOW_MS), allowed_in_window(per_s)
                 )
 
     def test_limit_that_falls_is_kept_within_one_window(self) -> None:
@@ -160,7 +150,7 @@
                         grantor, terms(after), 10_000.0, 12_000.0
                     )
                 self.assertLessEqual(
-                    max_in_window(sent), allowed_in_window(after)
+                    max_in_window(sent, WINDOW_MS), allowed_in_window(after)
                 )
 
     def test_limit_of_zero_still_gets_a_request_now_and_then(self) -> None:
--- a/wigeongw/gateway/host_case.py
+++ b/wigeongw/gateway/host_case.py
@@ -167,10 +167,19 @@
 
 
 class HostCase(unittest.IsolatedAsyncioTestCase):
-    """Runs one host in this process with two fake upstreams."""
+    """Runs hosts in this process, with two fake upstreams.
+
+    Attributes:
+        host_count: number of hosts; subclasses may set another one.
+        hosts: the hosts.
+        host: the first of them.
+        host_tasks: the tasks that run the hosts.
+    """
+
+    host_count = 1
 
     async def asyncSetUp(self) -> None:
-        """Start the upstreams, the client session and the host."""
+        """Start the upstreams, the client session and the hosts."""
         self.stack = await self.enterAsyncContext(AsyncExitStack())
         self.catalog = MemoryCatalog()
         self.upstreams = [FakeUpstream("one"), FakeUpstream("two")]
@@ -179,9 +188,11 @@
         self.session = await self.stack.enter_async_context(
             aiohttp.ClientSession()
         )
-        self.host = self._new_host()
-        self.host_task = asyncio.create_task(self.host.run())
-        self.stack.push_async_callback(self._stop)
+        self.null_fd = os.open(os.devnull, os.O_WRONLY)
+        self.stack.callback(os.close, self.null_fd)
+        self.host_tasks: list[asyncio.Task[None]] = []
+        self.hosts = [self._start_host(n) for n in range(self.host_count)]
+        self.host = self.hosts[0]
 
     async def publish_all(
         self, timeout_ms: float = 2_000.0, objective_ms: float = 800.0
@@ -190,7 +201,11 @@
         targets = [u.target() for u in self.upstreams]
         published = configuration(1, "s", timeout_ms, objective_ms)
         await self.catalog.publish(published, *targets)
-        await self.until(lambda: len(self.host.state.targets) == len(targets))
+        await self.until(
+            lambda: all(
+                len(host.state.targets) == len(targets) for host in self.hosts
+            )
+        )
 
     async def until(
         self, condition: Callable[[], bool], timeout_s: float = TIMEOUT_S
@@ -206,14 +221,25 @@
         method: str = "GET",
         request_id: str = "id-1",
         host: str = "a.example",
+        entry: GatewayHost | None = None,
         **options: object,
     ) -> tuple[int, bytes, dict[str, str]]:
-        """Send a request and return the status, body and headers."""
+        """Send a request and return the status, body and headers.
+
+        Args:
+            path: path of the request.
+            method: its method.
+            request_id: its ID.
+            host: value of its Host header.
+            entry: the host to send it to; the first one by default.
+            **options: passed on to the HTTP client.
+        """
         headers = {"Host": host, NAMES.request_id: request_id}
+        address = (entry or self.host).state.host_config.front
         async with asyncio.timeout(TIMEOUT_S):
             async with self.session.request(
                 method,
-                f"http://{self.host.state.host_config.front}{path}",
+                f"http://{address}{path}",
                 headers=headers,
                 **options,  # type: ignore[arg-type]
             ) as response:
@@ -227,21 +253,30 @@
         """Return how many requests the upstreams received."""
         return sum(len(u.ran) for u in self.upstreams)
 
-    def _new_host(self) -> GatewayHost:
+    def _start_host(self, number: int) -> GatewayHost:
+        """Start a host; several hosts exchange datagrams."""
+        peer = f"127.0.0.1:{free_port()}" if self.host_count > 1 else ""
         host_config = HostConfig(
-            "h", "amman", f"127.0.0.1:{free_port()}", "127.0.0.1:1", ""
+            f"h{number}" if number else "h",
+            "amman",
+            f"127.0.0.1:{free_port()}",
+            "127.0.0.1:1",
+            "",
+            peer,
         )
         dependencies = HostDependencies(
             self.catalog, NativeDialect(), lambda state: {}, self.session
         )
         host = GatewayHost(
-            host_config, dependencies, Clock(), random.Random(5)
+            host_config, dependencies, Clock(), random.Random(5 + number)
         )
-        null_fd = os.open(os.devnull, os.O_WRONLY)
-        self.stack.callback(os.close, null_fd)
-        host.log.fd = null_fd
+        host.log.fd = self.null_fd
+        task = asyncio.create_task(host.run())
+        self.host_tasks.append(task)
+        self.stack.push_async_callback(_stop, task)
         return host
 
-    async def _stop(self) -> None:
-        self.host_task.cancel()
-        await asyncio.gather(self.host_task, return_exceptions=True)
+
+async def _stop(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
--- a/wigeongw/gateway/host_test.py
+++ b/wigeongw/gateway/host_test.py
@@ -261,7 +261,7 @@
         The load samples are set directly. Otherwise a probe delayed by a busy
         machine could change the order in which upstreams are tried.
         """
-        self.host.state.retry_budgets.clear()
+        self.host.state.shares.retry_budgets.clear()
         now = self.host.clock.now()
         for index, name in enumerate(("one", "two")):
             state = self.host.state.targets[name]
@@ -381,7 +381,7 @@
         self.assertEqual(set(statuses), {200})
         self.assertFalse(self.host.state.ready)
         async with asyncio.timeout(8.0):
-            await self.host_task
+            await self.host_tasks[0]
         self.assertEqual(self.catalog.leases, {})
 
 
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -1,6 +1,5 @@
 """State that the tasks of one host share: view, upstreams, estimates."""
 
-from collections import Counter
 from dataclasses import replace
 import random
 
@@ -14,11 +13,9 @@
 from wigeongw.core.site import SiteLimits
 from wigeongw.core.site import Target
 from wigeongw.decisions import estimates
-from wigeongw.decisions import host_limits
 from wigeongw.decisions import placement as placements
 from wigeongw.decisions.estimates import ServiceTimeEstimate
 from wigeongw.decisions.host_limits import HostRetryBudget
-from wigeongw.decisions.host_limits import TokenBucket
 from wigeongw.decisions.placement import Candidate
 from wigeongw.decisions.queue_order import TypicalTimeout
 from wigeongw.decisions.routing import index_routes
@@ -27,6 +24,7 @@
 from wigeongw.decisions.site_view import SiteView
 from wigeongw.gateway.decision_log import DecisionLog
 from wigeongw.gateway.grantor_directory import GrantorDirectory
+from wigeongw.gateway.limit_shares import LimitShares
 from wigeongw.gateway.target_state import TargetState
 
 # Older samples do not count for the utilization of a service.
@@ -45,15 +43,12 @@
         work_estimates: expected duration of requests, by route name and
             service.
         typical_timeouts: usual timeout of the clients, by route name.
-        retry_budgets: this host's retry budget, by service.
+        shares: this host's shares of the limits over all hosts.
         targets_by_key: the same states, by the hash used in datagrams.
         peer_addresses: address for datagrams of each other host, by name.
         peer_ips: IP addresses from which datagrams are accepted.
         grantor_directory: the hosts that grant requests to upstreams with a
             rate limit.
-        max_hosts_by_zone: the largest number of hosts seen at a time, by
-            availability zone.
-        limits_basis: inputs from which this host's limits were computed.
         stopping: whether a graceful stop has begun.
         store_responded_at: when the store last responded, monotonic clock.
     """
@@ -84,9 +79,7 @@
         )
         self.work_estimates: dict[tuple[str, str], ServiceTimeEstimate] = {}
         self.typical_timeouts: dict[str, TypicalTimeout] = {}
-        self.retry_budgets: dict[str, HostRetryBudget] = {}
-        self.max_hosts_by_zone: Counter[str] = Counter()
-        self.limits_basis: object = None
+        self.shares = LimitShares(host_config, clock, rng)
         self.stopping = False
         self.store_answered_at = float("-inf")
 
@@ -120,7 +113,7 @@
             or view.evacuated is not old.evacuated
         ):
             self._choose_subsets()
-        self._update_limits()
+        self.shares.update(self.targets.values())
         return removed
 
     def record_lookup(self, address_count: int) -> None:
@@ -140,7 +133,8 @@
     def update_bounds(self, bounds: SiteLimits) -> None:
         """Replace the site's limits."""
         self.host_config = replace(self.host_config, bounds=bounds)
-        self._update_limits()
+        self.shares.host_config = self.host_config
+        self.shares.update(self.targets.values())
 
     def split(self, route: Route) -> Split:
         """Return the traffic split of a route over its services."""
@@ -165,11 +159,7 @@
 
     def retry_budget(self, service: str) -> HostRetryBudget:
         """Return this host's retry budget for a service."""
-        budget = self.retry_budgets.get(service)
-        if budget is None:
-            budget = self._new_retry_budget()
-            self.retry_budgets[service] = budget
-        return budget
+        return self.shares.retry_budget(service)
 
     def service(self, name: str) -> Service | None:
         """Return a service of the current configuration, if it exists."""
@@ -275,10 +265,7 @@
     # Applying a view
 
     def _apply_hosts(self) -> None:
-        zones = (h.availability_zone for h in self.view.hosts.values())
-        # The maximum is kept because a host that disappeared may return before
-        # this host learns of it.
-        self.max_hosts_by_zone |= Counter(zones)
+        self.shares.set_hosts(self.view.hosts)
         self.peer_addresses = {
             host.name: split_address(host.peer)
             for host in self.view.hosts.values()
@@ -290,6 +277,7 @@
     def _apply_configuration(self) -> None:
         configuration = self.view.configuration
         assert configuration is not None
+        self.shares.set_configuration(configuration)
         self.route_index = index_routes(configuration)
         names = {route.name for route in configuration.routes}
         self.splits = {k: v for k, v in self.splits.items() if k in names}
@@ -347,86 +335,11 @@
     def _new_target_state(self, target: Target) -> TargetState:
         return TargetState(
             target,
-            self._new_probe_bucket(target),
-            self._new_cold_bucket(target),
+            self.shares.new_probe_bucket(target),
+            self.shares.new_cold_bucket(target),
             cold_until=self.clock.now() + target.cold_left_ms,
         )
 
-    # This host's shares of the limits over all hosts together
-
-    def _update_limits(self) -> None:
-        """Recompute this host's shares of the site's limits.
-
-        Nothing happens unless an input of the computation has changed.
-        """
-        configuration = self.view.configuration
-        services = configuration.services if configuration else {}
-        names = frozenset(self.view.hosts)
-        basis = (self.bounds, dict(self.max_hosts_by_zone), names, services)
-        if basis == self.limits_basis:
-            return
-        self.limits_basis = basis
-        for state in self.targets.values():
-            target = state.target
-            state.probe_bucket = state.probe_bucket.carry_over_to(
-                self._new_probe_bucket(target)
-            )
-            state.cold_bucket = state.cold_bucket.carry_over_to(
-                self._new_cold_bucket(target)
-            )
-        for name, budget in self.retry_budgets.items():
-            self.retry_budgets[name] = budget.carry_over_to(
-                self._new_retry_budget()
-            )
-
-    def _new_probe_bucket(self, target: Target) -> TokenBucket:
-        local = self.max_hosts_by_zone[target.availability_zone]
-        remote = self.max_hosts_by_zone.total() - local
-        return host_limits.probe_bucket(
-            self.bounds,
-            local,
-            remote,
-            self.is_in_local_zone(target),
-            self.clock.now(),
-        )
-
-    def _new_cold_bucket(self, target: Target) -> TokenBucket:
-        service = self.service(target.service)
-        service_or_default = service or Service(
-            target.service, "/", 1, 0.0, 1.0
-        )
-        now = self.clock.now()
-        hosts = self._count_cold_hosts(target)
-        return host_limits.cold_bucket(
-            self.bounds, service_or_default, hosts, now, self.rng
-        )
-
-    def _count_cold_hosts(self, target: Target) -> int:
-        """Count the hosts that share the limit of an upstream's warm-up.
-
-        Returns:
-            0 when this host may not send to it during the warm-up.
-        """
-        zone = target.availability_zone
-        hosts_by_name = {h.name: h for h in self.view.hosts.values()}
-        local = {
-            n for n, h in hosts_by_name.items() if h.availability_zone == zone
-        }
-        if self.is_in_local_zone(target):
-            local.add(self.host_config.name)
-        max_hosts = self.max_hosts_by_zone[zone]
-        if not local:
-            local = {*hosts_by_name, self.host_config.name}
-            max_hosts = self.max_hosts_by_zone.total()
-        cold_hosts = host_limits.cold_hosts(target.identity, local)
-        if self.host_config.name not in cold_hosts:
-            return 0
-        return max(len(cold_hosts), min(host_limits.MAX_COLD_HOSTS, max_hosts))
-
-    def _new_retry_budget(self) -> HostRetryBudget:
-        hosts = self.max_hosts_by_zone.total()
-        return HostRetryBudget(self.bounds, hosts, self.clock.now())
-
 
 def _is_other_start(known: Target, found: Target) -> bool:
     """Return whether an upstream was restarted since it was last seen."""
