--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -31,8 +31,8 @@
 from wigeongw.daemon.decision_log import DecisionLog
 from wigeongw.decisions import host_order
 from wigeongw.decisions.grantor import Grantor
-from wigeongw.decisions.grantor import Takeover
-from wigeongw.decisions.grantor import UpstreamView
+from wigeongw.decisions.grantor_state import Takeover
+from wigeongw.decisions.grantor_state import UpstreamView
 from wigeongw.decisions.messages import Ask
 from wigeongw.decisions.messages import Grant
 from wigeongw.decisions.messages import Return
--- a/wigeongw/adapters/peer_codec.py
+++ b/wigeongw/adapters/peer_codec.py
@@ -8,7 +8,7 @@
 from wigeongw.adapters.peer_pb import peer_pb2 as pb
 from wigeongw.core.records import Revision
 from wigeongw.decisions.fence import Fence
-from wigeongw.decisions.grantor import UpstreamView
+from wigeongw.decisions.grantor_state import UpstreamView
 from wigeongw.decisions.messages import Ask
 from wigeongw.decisions.messages import Cancel
 from wigeongw.decisions.messages import Grant
--- a/wigeongw/daemon/permit_manager.py
+++ b/wigeongw/daemon/permit_manager.py
@@ -25,7 +25,7 @@
 from wigeongw.decisions import strategies
 from wigeongw.decisions import trace
 from wigeongw.decisions.grantor import Grantor
-from wigeongw.decisions.grantor import UpstreamView
+from wigeongw.decisions.grantor_state import UpstreamView
 from wigeongw.decisions.messages import Ask
 from wigeongw.decisions.messages import Cancel
 from wigeongw.decisions.messages import GrantorMessage
--- a/wigeongw/daemon/site_tracker.py
+++ b/wigeongw/daemon/site_tracker.py
@@ -29,7 +29,7 @@
 from wigeongw.decisions.fence import Fence
 from wigeongw.decisions.fence import LeaseState
 from wigeongw.decisions.fence import PeerStatus
-from wigeongw.decisions.grantor import UpstreamView
+from wigeongw.decisions.grantor_state import UpstreamView
 from wigeongw.decisions.messages import GrantorMessage
 from wigeongw.decisions.messages import HolderMessage
 from wigeongw.decisions.site_state import SiteState
--- a/wigeongw/decisions/holder.py
+++ b/wigeongw/decisions/holder.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 from itertools import islice
 
+from wigeongw.decisions.floor_use import FloorUse
 from wigeongw.decisions.holder_state import BusyPermit
 from wigeongw.decisions.holder_state import IdlePermit
 from wigeongw.decisions.holder_state import PendingAsk
@@ -31,8 +32,6 @@
 from wigeongw.decisions.messages import Revoke
 from wigeongw.decisions.messages import ToGrantor
 from wigeongw.decisions.messages import Verdict
-from wigeongw.decisions.rate_limit import GrantTerms
-from wigeongw.decisions.rate_limit import LimitGrantor
 from wigeongw.decisions.sharing import Effect
 from wigeongw.decisions.sharing import Held
 from wigeongw.decisions.sharing import PoolView
@@ -54,8 +53,6 @@
 # Per pool.
 MAX_PENDING_ASKS = 32
 DEADLINE_CHECK_INTERVAL_MS = 20.0
-# Pause of floor permits after a failed connection.
-UNREACHABLE_BACKOFF_MS = 2_000.0
 START_INTERVAL_EWMA_WEIGHT = 0.05
 
 
@@ -75,12 +72,9 @@
         reported_at: when the last result of a kept permit was reported, by
             upstream.
         serial: last number given to an ask, a renewal or a floor permit.
-        backoff_until: end of the backoff after a failed connection, by
-            upstream.
+        floor_use: limits the use of floor upstreams.
         start_interval_ms: moving average of the time between two requests
             that leave the queue.
-        floor_limits: this host's part of the rate limit of an upstream while
-            its pool has no grantor.
     """
 
     def __init__(self, config: SharingConfig) -> None:
@@ -92,11 +86,10 @@
         self.latency_ms: dict[str, float] = {}
         self.reported_at: dict[str, float] = {}
         self.serial = config.incarnation << SERIAL_BITS
-        self.backoff_until: dict[str, float] = {}
+        self.floor_use = FloorUse(config.slots)
         self.deadlines_checked_at = float("-inf")
         self.last_start_at = 0.0
         self.start_interval_ms = 0.0
-        self.floor_limits: dict[str, LimitGrantor] = {}
 
     # Calls of the daemon
 
@@ -176,7 +169,7 @@
         held = busy.held
         if verdict is Verdict.GOOD:
             self._record_latency(held.upstream, served_ms)
-            self.backoff_until.pop(held.upstream, None)
+            self.floor_use.record_success(held.upstream)
         pool = self.pools.get(held.pool)
         if pool is None:
             return []
@@ -189,7 +182,7 @@
             start,
             limit,
         )
-        self._learn_limit(held.upstream, limit, now)
+        self.floor_use.learn_limit(held.upstream, limit, now)
         effects = self._reuse_or_return(pool, busy, returned, now)
         if verdict is Verdict.UNREACHABLE:
             effects.extend(self._back_off(pool, held.upstream, now))
@@ -377,7 +370,7 @@
         backoff here is for floor permits, which are used while there is no
         grantor.
         """
-        self.backoff_until[upstream] = now + UNREACHABLE_BACKOFF_MS
+        self.floor_use.record_unreachable(upstream, now)
         kept = [i for i in pool.idle if i.held.upstream != upstream]
         dropped = [i for i in pool.idle if i.held.upstream == upstream]
         pool.idle = kept
@@ -581,7 +574,7 @@
             if pool.view.grantor is not None or not pool.view.is_open:
                 continue
             for upstream in pool.view.floor:
-                if now < self.backoff_until.get(upstream, now):
+                if self.floor_use.is_paused(upstream, now):
                     continue
                 effects.extend(self._start_on_floor(pool, upstream, now))
         return effects
@@ -598,7 +591,7 @@
             self.serial, pool.view.pool, upstream, False, forever, forever
         )
         queued = self._oldest_match(held)
-        if queued is None or not self._may_use_floor(upstream, now):
+        if queued is None or not self.floor_use.take(upstream, now):
             return []
         del self.waiting[queued.wanted.request]
         return [self._start(queued.wanted, held, is_floor=True)]
@@ -609,36 +602,6 @@
         self.busy[wanted.request] = BusyPermit(held, wanted.ends_at, is_floor)
         return Start(wanted.request, held)
 
-    # Rate limits
-
-    def _learn_limit(
-        self, upstream: str, limit: LimitReport | None, now: float
-    ) -> None:
-        """Remember the limit of an upstream for the time without a grantor."""
-        if limit is None:
-            return
-        if limit.per_s is None:
-            self.floor_limits.pop(upstream, None)
-            return
-        terms = self._floor_terms(limit.per_s)
-        known = self.floor_limits.get(upstream)
-        if known is None:
-            self.floor_limits[upstream] = LimitGrantor(terms, False, now)
-        elif known.terms != terms:
-            known.set_terms(terms, now)
-
-    def _floor_terms(self, per_s: float) -> GrantTerms:
-        """Return this host's part of a limit while there is no grantor.
-
-        An upstream is the floor of as many hosts as it has slots, and the
-        grantor may still be reachable from others.
-        """
-        return GrantTerms(per_s, self.config.slots, may_be_replaced=True)
-
-    def _may_use_floor(self, upstream: str, now: float) -> bool:
-        limit = self.floor_limits.get(upstream)
-        return limit is None or limit.grant(limit.terms, now) <= 0.0
-
     # Maintenance of permits
 
     def _maintain(self, pool: PoolState, now: float) -> list[Effect]:
--- a/wigeongw/decisions/permit_rate_limit_test.py
+++ b/wigeongw/decisions/permit_rate_limit_test.py
@@ -7,7 +7,7 @@
 from standins.counting import max_in_window
 from wigeongw.core.records import Upstream
 from wigeongw.decisions.grantor import Grantor
-from wigeongw.decisions.grantor import Takeover
+from wigeongw.decisions.grantor_state import Takeover
 from wigeongw.decisions.holder import Holder
 from wigeongw.decisions.messages import Ask
 from wigeongw.decisions.messages import Cancel
--- a/wigeongw/decisions/permits_test.py
+++ b/wigeongw/decisions/permits_test.py
@@ -23,9 +23,9 @@
 
 from wigeongw.core.records import Upstream
 from wigeongw.decisions.grantor import Grantor
-from wigeongw.decisions.grantor import Permit
 from wigeongw.decisions.grantor import SERIAL_BITS
-from wigeongw.decisions.grantor import Takeover
+from wigeongw.decisions.grantor_state import Permit
+from wigeongw.decisions.grantor_state import Takeover
 from wigeongw.decisions.holder import Holder
 from wigeongw.decisions.holder import PoolState
 from wigeongw.decisions.holder import QueuedRequest
--- a/wigeongw/decisions/site_state.py
+++ b/wigeongw/decisions/site_state.py
@@ -23,8 +23,8 @@
 from wigeongw.decisions.fence import Fence
 from wigeongw.decisions.fence import LeaseState
 from wigeongw.decisions.fence import PeerStatus
-from wigeongw.decisions.grantor import Takeover
-from wigeongw.decisions.grantor import UpstreamView
+from wigeongw.decisions.grantor_state import Takeover
+from wigeongw.decisions.grantor_state import UpstreamView
 from wigeongw.decisions.membership import LeavingUpstreams
 from wigeongw.decisions.sharing import PoolView
 from wigeongw.settings.schema import Settings
--- a/wigeongw/decisions/trace.py
+++ b/wigeongw/decisions/trace.py
@@ -24,8 +24,8 @@
 from wigeongw.decisions import sharing
 from wigeongw.decisions import strategies
 from wigeongw.decisions.grantor import Grantor
-from wigeongw.decisions.grantor import Takeover
-from wigeongw.decisions.grantor import UpstreamView
+from wigeongw.decisions.grantor_state import Takeover
+from wigeongw.decisions.grantor_state import UpstreamView
 from wigeongw.settings.schema import ColdStartSettings
 from wigeongw.settings.schema import PermitSettings
 
--- a/wigeongw/ports/peers.py
+++ b/wigeongw/ports/peers.py
@@ -10,7 +10,7 @@
 from wigeongw.core.records import EntryHost
 from wigeongw.core.records import Revision
 from wigeongw.decisions.fence import Fence
-from wigeongw.decisions.grantor import UpstreamView
+from wigeongw.decisions.grantor_state import UpstreamView
 from wigeongw.decisions.messages import GrantorMessage
 from wigeongw.decisions.messages import HolderMessage
 
