Soak: upstreams name rate limits; probes say how they failed

Beside the drawn faults one upstream after the other names a limit; hosts together must keep it whatever is killed, paused, stopped or cut.

--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -7,6 +7,7 @@
 from clockworks.dialect import ClockworksDialect
 from soak.run_history import ClientRequest
 from soak.run_history import RunHistory
+from standins.counting import max_in_window
 
 Invariant = Callable[[RunHistory], Iterator[str]]
 INVARIANTS: dict[str, Invariant] = {}
@@ -19,6 +20,11 @@
 MAX_RESPONSE_TIME_S = 1.5
 # A host counts as undisturbed this long after the last unplanned fault.
 UNDISTURBED_AFTER_S = 3.0
+# What an upstream may get beyond its rate limit, and when hosts have heard it.
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+LIMIT_WINDOW_S = 4.0
+LIMIT_HEARD_AFTER_S = 1.0
 
 
 def register_invariant(name: str) -> Callable[[Invariant], Invariant]:
@@ -136,6 +142,26 @@
             )
 
 
+@register_invariant("rate limits")
+def rate_limits_are_kept(history: RunHistory) -> Iterator[str]:
+    """Hosts together keep the limit of an upstream once they have heard it."""
+    for limit in history.limits:
+        heard_at = limit.began_at_s + LIMIT_HEARD_AFTER_S
+        arrivals = [
+            execution.started_at_s
+            for execution in history.executions
+            if execution.upstream == limit.upstream
+            and heard_at <= execution.started_at_s < limit.ended_at_s
+        ]
+        most = max_in_window(arrivals, LIMIT_WINDOW_S)
+        allowed = LIMIT_FACTOR * limit.per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        if most > allowed:
+            yield (
+                f"{limit.upstream} got {most} requests in {LIMIT_WINDOW_S} s, "
+                f"{allowed} are allowed"
+            )
+
+
 def _is_undisturbed(history: RunHistory, request: ClientRequest) -> bool:
     """Return whether no unplanned fault affected the host of a request."""
     for disturbance in history.disturbances:
--- a/soak/invariants_test.py
+++ b/soak/invariants_test.py
@@ -7,6 +7,7 @@
 from soak.run_history import ClientRequest
 from soak.run_history import Disturbance
 from soak.run_history import Execution
+from soak.run_history import NamedLimit
 from soak.run_history import RunHistory
 
 SIGNED = {invariants.SIGNATURE: "s"}
@@ -30,6 +31,15 @@
             with self.subTest(case=number):
                 self.assertEqual(invariants.find_violations(history), [])
 
+    def test_rate_limit_that_is_exceeded_is_reported(self) -> None:
+        arrivals = [replace(EXECUTION, request_id=f"r{n}") for n in range(12)]
+        for count, expected in ((11, 0), (12, 1)):
+            with self.subTest(count=count):
+                limit = NamedLimit("u", 1.0, 8.0, 14.0)
+                history = RunHistory(arrivals[:count], limits=[limit])
+                violations = invariants.find_violations(history)
+                self.assertEqual(len(violations), expected, violations)
+
     def test_each_invariant_reports_its_violation(self) -> None:
         get = replace(REQUEST, method="GET")
         other = replace(KILL, host="other")
--- a/soak/run_history.py
+++ b/soak/run_history.py
@@ -75,6 +75,23 @@
     ended_at_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """A rate limit that an upstream named, with the time that it lasted.
+
+    Attributes:
+        upstream: Instance id of the upstream.
+        per_s: Requests per second that it takes from all hosts together.
+        began_at_s: When the upstream began to name it.
+        ended_at_s: When it named it last.
+    """
+
+    upstream: str
+    per_s: float
+    began_at_s: float
+    ended_at_s: float
+
+
 @dataclass(slots=True)
 class RunHistory:
     """Everything that was observed during one run.
@@ -83,10 +100,12 @@
         executions: Requests that upstreams began to execute.
         requests: Requests that clients sent.
         disturbances: Faults and planned operations, in order of their start.
+        limits: Rate limits that upstreams named.
         failures: Violations that were found while the run went on.
     """
 
     executions: list[Execution] = field(default_factory=list)
     requests: list[ClientRequest] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
+    limits: list[NamedLimit] = field(default_factory=list)
     failures: list[str] = field(default_factory=list)
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -10,6 +10,7 @@
 
 from soak import faults
 from soak import invariants
+from soak import limits
 from soak.faults import FAULTS
 from soak.site import Site
 
@@ -53,7 +54,10 @@
     async with AsyncExitStack() as stack:
         site = Site(seed, folder, stack)
         await site.start()
-        await _inject_faults(site, duration_s)
+        await asyncio.gather(
+            _inject_faults(site, duration_s),
+            limits.name_limits(site, duration_s),
+        )
         await asyncio.sleep(SETTLE_DELAY_S)
         await _check_recovered(site)
         for task in site.client_tasks:
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -51,6 +51,7 @@
         service: Service that the upstream belongs to.
         zone: Availability zone of the upstream.
         behavior: How the upstream handles requests at the moment.
+        rate_limit_per_s: Rate limit that it names; None for none.
         running_count: Number of requests that are being executed.
     """
 
@@ -68,6 +69,7 @@
         self.history = history
         self.rng = rng
         self.behavior = Behavior.NORMAL
+        self.rate_limit_per_s: float | None = None
         self.running_count = 0
         self.server = ScriptedUpstream(self._respond)
         self.proxy: Proxy
@@ -90,11 +92,17 @@
     async def _respond(
         self, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
-        load_header = f"{LOAD_FORMAT.load}: {self.running_count},0,{SLOTS},100"
+        load_headers = [
+            f"{LOAD_FORMAT.load}: {self.running_count},0,{SLOTS},100"
+        ]
+        if self.rate_limit_per_s is not None:
+            load_headers.append(
+                f"{HEADER_NAMES.rate_limit}: {self.rate_limit_per_s}"
+            )
         instance_header = f"{HEADER_NAMES.instance}: {self.instance_id}"
         if request.target == HEALTH_PATH:
             writer.write(
-                response_bytes(200, b"", instance_header, load_header)
+                response_bytes(200, b"", instance_header, *load_headers)
             )
             return
         request_id = request.headers.get(HEADER_NAMES.request_id, "")
@@ -112,12 +120,12 @@
             not_run_header = f"{HEADER_NAMES.not_run}: full"
             writer.write(
                 response_bytes(
-                    503, b"", id_header, not_run_header, load_header
+                    503, b"", id_header, not_run_header, *load_headers
                 )
             )
             return
         await self._execute(
-            request, request_id, writer, [id_header, load_header]
+            request, request_id, writer, [id_header, *load_headers]
         )
 
     async def _execute(
--- a/wigeongw/adapters/upstream_pool.py
+++ b/wigeongw/adapters/upstream_pool.py
@@ -52,6 +52,10 @@
         connection.reply = None
         self.idle.setdefault(target.identity, []).append(connection)
 
+    def has_idle(self, identity: str) -> bool:
+        """Return whether a connection to an upstream may be reused."""
+        return any(conn.is_open for conn in self.idle.get(identity, ()))
+
     def close_idle(self, identity: str) -> None:
         """Close the idle connections to a removed upstream."""
         for connection in self.idle.pop(identity, []):
--- a/wigeongw/gateway/prober.py
+++ b/wigeongw/gateway/prober.py
@@ -85,6 +85,7 @@
     async def _probe(self, target: TargetState) -> None:
         identity = target.target.identity
         started_at = self.state.clock.now()
+        reuses_connection = self.pool.has_idle(identity)
         try:
             async with asyncio.timeout(seconds(PROBE_TIMEOUT_MS)):
                 await self._send_probe(target)
@@ -97,6 +98,8 @@
                 to=identity,
                 event="failed",
                 rest_ms=target.backoff_ms,
+                took_ms=self.state.clock.now() - started_at,
+                new_connection=int(not reuses_connection),
                 cause=repr(error),
             )
         finally:
