A refusal after a denied request says when a grantor may be asked

Callers saw 503 with the reason of the last attempt and a Retry-After of 15 ms where all upstreams were limited and had free slots: they came back at once and were refused again. The placer's own refusal, with the time until a grantor may be asked, is passed on.

Also: an ask whose limit has ended meanwhile marked its grantor as silent; what other hosts tell of a limit has a line.

--- a/wigeongw/gateway/forwarder.py
+++ b/wigeongw/gateway/forwarder.py
@@ -41,6 +41,7 @@
         in_flight: unfinished attempts and their placements.
         hedged: whether hedging was already considered.
         rate_limited: whether the last attempt was denied by a rate limit.
+        refusal: why no upstream took the request after a failed attempt.
     """
 
     sends: int = 0
@@ -51,6 +52,7 @@
     )
     hedged: bool = False
     rate_limited: bool = False
+    refusal: RefusedError | None = None
 
     def forget(self, unsent: Attempt) -> None:
         """Take back an attempt that did not reach its upstream.
@@ -206,7 +208,8 @@
             placement = await self.placer.place(
                 self._placement_request(request, progress)
             )
-        except RefusedError:
+        except RefusedError as refusal:
+            progress.refusal = refusal
             return False
         self.state.metrics.count("second_tries_total", failed.reason)
         self._start_attempt(request, progress, placement, "again")
@@ -234,6 +237,8 @@
             return failed
         if progress.may_have_run or failed.outcome is not Outcome.NOT_RUN:
             raise OutcomeUnknownError(502, failed.reason)
+        if progress.rate_limited and progress.refusal is not None:
+            raise progress.refusal
         estimate = self.state.work_estimate(request.route, request.service)
         retry_after_ms = self.placer.retry_after_ms(
             request.service, estimate.mean_ms
@@ -252,6 +257,7 @@
         why: str,
     ) -> None:
         progress.sends += 1
+        progress.rate_limited = False
         progress.tried.add(placement.target.identity)
         self._log_placement(request, placement, why)
         task = asyncio.create_task(self.sender.send(request, placement))
--- a/wigeongw/gateway/observation_exchange.py
+++ b/wigeongw/gateway/observation_exchange.py
@@ -165,7 +165,9 @@
             target = self.state.targets_by_key.get(limited.key)
             if target is not None:
                 at_ms = now - limited.age_ms
-                target.learn_rate_limit(RateLimit(limited.per_s, at_ms))
+                self.state.learn_rate_limit(
+                    target, RateLimit(limited.per_s, at_ms)
+                )
         for ended in observations.ended:
             target = self.state.targets_by_key.get(ended.key)
             if target is None:
--- a/wigeongw/gateway/rate_limit_test.py
+++ b/wigeongw/gateway/rate_limit_test.py
@@ -117,6 +117,23 @@
         self.assertEqual(status, 200)
         self.assertEqual(self.upstreams[0].arrivals, [])
 
+    async def test_client_waits_although_no_grant_can_come_in_time(
+        self,
+    ) -> None:
+        for upstream in self.upstreams:
+            upstream.rate_limits = ("0.5",)
+        retry_after_s = []
+        for number in range(8):
+            started_at = self.host.clock.now()
+            status, body, headers = await self.send(f"/read/{number}")
+            took_ms = self.host.clock.now() - started_at
+            if status == 503:
+                self.assertEqual(body, b"rate_limited\n")
+                self.assertLess(took_ms, 200.0)
+                retry_after_s.append(float(headers["retry-after"]))
+        self.assertGreater(len(retry_after_s), 2)
+        self.assertGreater(min(retry_after_s), 0.2)
+
     async def test_limit_is_used_and_all_else_is_refused_at_once(self) -> None:
         limit_per_s = 6.0
         duration_ms = 5_000.0
--- a/wigeongw/gateway/rate_limiter.py
+++ b/wigeongw/gateway/rate_limiter.py
@@ -64,6 +64,8 @@
         directory = self.state.grantor_directory
         asked_at = self.state.clock.now()
         for name in directory.order_to_ask(target, asked_at):
+            if target.limit_per_s is None:
+                return Admission()
             asked_at = self.state.clock.now()
             reply = await self._ask(name, target)
             now = self.state.clock.now()
@@ -97,7 +99,7 @@
             reply = GrantReply(ask.serial, NOT_GRANTOR_WAIT_MS, ask.per_s, 0.0)
         else:
             limit = RateLimit(ask.per_s, now - ask.age_ms)
-            target.learn_rate_limit(limit)
+            self.state.learn_rate_limit(target, limit)
             reply = self._decide(target, ask.serial, now)
         self.socket.send(grant_codec.encode_reply(reply), address)
 
@@ -147,7 +149,7 @@
             self.pending.pop(serial, None)
         received_at = self.state.clock.now()
         known = RateLimit(reply.per_s, received_at - reply.age_ms)
-        target.learn_rate_limit(known)
+        self.state.learn_rate_limit(target, known)
         return reply
 
     def _decide(
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -8,6 +8,7 @@
 from wigeongw.core.clock import Clock
 from wigeongw.core.metrics import Metrics
 from wigeongw.core.site import HostConfig
+from wigeongw.core.site import RateLimit
 from wigeongw.core.site import Route
 from wigeongw.core.site import Service
 from wigeongw.core.site import SiteLimits
@@ -234,6 +235,21 @@
             self.grantor_directory.wait_ms(state, now) <= 0.0,
         )
 
+    def learn_rate_limit(self, target: TargetState, limit: RateLimit) -> None:
+        """Apply what another host knows about the limit of an upstream."""
+        before = target.limit_per_s
+        target.learn_rate_limit(limit)
+        if target.limit_per_s == before:
+            return
+        self.log.add(
+            "limit",
+            to=target.target.identity,
+            event="told",
+            before_per_s=before,
+            per_s=target.limit_per_s,
+            age_ms=self.clock.now() - limit.at_ms,
+        )
+
     def utilization(self, service: str) -> float:
         """Return the share of a service's slots in use, 0 to 1.
 
