Names of the rate limiter's parts; an invalid peer address is left out

An entry of a host with an address that cannot be read would have ended the task that applies changes; it is logged and the other hosts stay known. The test failed with a ValueError before.

--- a/wigeongw/decisions/rate_limit.py
+++ b/wigeongw/decisions/rate_limit.py
@@ -55,8 +55,8 @@
     Attributes:
         per_s: requests per second that the upstream accepts.
         grantors: number of hosts that grant requests to the upstream.
-        may_be_replaced: whether other hosts may take a third host for the
-            grantor.
+        may_be_replaced: whether other hosts may ask another grantor in its
+            place, without this one knowing it.
     """
 
     per_s: float
--- a/wigeongw/gateway/grantor_directory.py
+++ b/wigeongw/gateway/grantor_directory.py
@@ -15,8 +15,8 @@
         hosts: the hosts of the site that can be asked, by name.
         hosts_changed_at: when a host joined or left last, monotonic clock.
         max_hosts: the largest number of hosts seen at a time.
-        names: names of the grantors of an upstream, by its identity; filled
-            on demand, as few upstreams have a limit.
+        names_by_target: names of the grantors of an upstream, by its
+            identity; filled on demand, as few upstreams have a limit.
         silent_until: by grantor, the time until which it is not asked since
             it did not reply, monotonic clock.
     """
@@ -26,7 +26,7 @@
         self.hosts: Mapping[str, Host] = {}
         self.hosts_changed_at = now
         self.max_hosts = 0
-        self.names: dict[str, list[str]] = {}
+        self.names_by_target: dict[str, list[str]] = {}
         self.silent_until: dict[str, float] = {}
 
     def set_hosts(self, hosts: Mapping[str, Host], now: float) -> None:
@@ -38,7 +38,7 @@
         }
         if askable.keys() != self.hosts.keys():
             self.hosts_changed_at = now
-            self.names = {}
+            self.names_by_target = {}
             self.silent_until = {}
         self.hosts = askable
         self.max_hosts = max(self.max_hosts, len(askable))
@@ -55,7 +55,7 @@
     def grantors(self, target: TargetState) -> list[str]:
         """Return the names of the grantors of an upstream."""
         identity = target.target.identity
-        names = self.names.get(identity)
+        names = self.names_by_target.get(identity)
         if names is None:
             zone = target.target.availability_zone
             local = {
@@ -65,17 +65,17 @@
             }
             others = self.hosts.keys() - local
             names = rate_limit.choose_grantors(identity, local, others)
-            self.names[identity] = names
+            self.names_by_target[identity] = names
         return names
 
     def order_to_ask(self, target: TargetState, now: float) -> list[str]:
         """Return the grantors of an upstream that may be asked now."""
+        names = self.grantors(target)
+        denied_until = {
+            name: self._denied_until(target, name) for name in names
+        }
         return rate_limit.order_grantors(
-            self.grantors(target),
-            {n: self._free_at(target, n) for n in self.grantors(target)},
-            self.host_name,
-            target.target.identity,
-            now,
+            names, denied_until, self.host_name, target.target.identity, now
         )
 
     def wait_ms(self, target: TargetState, now: float) -> float:
@@ -87,12 +87,13 @@
         if target.limit_per_s is None:
             return 0.0
         waits = (
-            max(0.0, self._free_at(target, name) - now)
+            max(0.0, self._denied_until(target, name) - now)
             for name in self.grantors(target)
         )
         return min(waits, default=rate_limit.MAX_WAIT_MS)
 
-    def _free_at(self, target: TargetState, name: str) -> float:
+    def _denied_until(self, target: TargetState, name: str) -> float:
+        """Return the time until which a grantor is not asked."""
         return max(
             target.denied_until.get(name, 0.0),
             self.silent_until.get(name, 0.0),
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -88,13 +88,13 @@
         self.pool = UpstreamPool(clock, self.dialect.names.request_id)
         self.peer_socket = PeerSocket(self.state.metrics)
         self.observations = ObservationExchange(self.state, self.peer_socket)
-        rate_limits = RateLimitReader(self.state, self.dialect.names)
+        limit_reader = RateLimitReader(self.state, self.dialect.names)
         self.prober = Prober(
             self.state,
             self.pool,
             self.dialect,
             self.observations,
-            rate_limits,
+            limit_reader,
         )
         self.change_log = ChangeLog()
         catalog = RelayedCatalog(
@@ -114,7 +114,7 @@
             self.pool,
             self.dialect,
             self.observations,
-            rate_limits,
+            limit_reader,
             RateLimiter(self.state, self.peer_socket),
         )
         forwarder = Forwarder(self.state, placer, sender)
--- a/wigeongw/gateway/prober.py
+++ b/wigeongw/gateway/prober.py
@@ -35,10 +35,10 @@
         pool: UpstreamPool,
         dialect: Dialect,
         observations: ObservationExchange,
-        rate_limits: RateLimitReader,
+        limit_reader: RateLimitReader,
     ) -> None:
         self.state = state
-        self.rate_limits = rate_limits
+        self.limit_reader = limit_reader
         self.observations = observations
         self.pool = pool
         self.dialect = dialect
@@ -127,7 +127,7 @@
             )
             return
         target.record_reachable()
-        self.rate_limits.read(target, reply, ResponseKind.PROBE)
+        self.limit_reader.read(target, reply, ResponseKind.PROBE)
         healthy = reply.status == HTTP_OK
         sample = self.dialect.load(
             reply.fields, now, healthy, ResponseKind.PROBE
--- a/wigeongw/gateway/rate_limiter.py
+++ b/wigeongw/gateway/rate_limiter.py
@@ -164,11 +164,13 @@
         directory = self.state.grantor_directory
         if self.state.host_config.name not in directory.grantors(target):
             return GrantReply(serial, NOT_GRANTOR_WAIT_MS, limit.per_s, age_ms)
-        wait_ms = self._grantor(target, limit.per_s, now)
+        wait_ms = self._grant_or_wait_ms(target, limit.per_s, now)
         return GrantReply(serial, wait_ms, limit.per_s, age_ms)
 
-    def _grantor(self, target: TargetState, per_s: float, now: float) -> float:
-        """Take one request from this host's part of the limit.
+    def _grant_or_wait_ms(
+        self, target: TargetState, per_s: float, now: float
+    ) -> float:
+        """Grant one request from this host's part of the limit.
 
         Returns:
             0 when it is granted, else the milliseconds to wait.
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -231,8 +231,8 @@
             state.cold_bucket.refill(now) >= 1.0,
             state.is_silent(now),
             state.in_subset,
-            state.limit_per_s is not None,
-            self.grantor_directory.wait_ms(state, now) <= 0.0,
+            rate_limited=state.limit_per_s is not None,
+            may_be_granted=self.grantor_directory.wait_ms(state, now) <= 0.0,
         )
 
     def learn_rate_limit(self, target: TargetState, limit: RateLimit) -> None:
@@ -282,14 +282,27 @@
 
     def _apply_hosts(self) -> None:
         self.shares.set_hosts(self.view.hosts)
-        self.peer_addresses = {
-            host.name: split_address(host.peer)
-            for host in self.view.hosts.values()
-            if host.name != self.host_config.name and host.peer
-        }
+        self.peer_addresses = self._find_peer_addresses()
         self.peer_ips = frozenset(ip for ip, _ in self.peer_addresses.values())
         self.grantor_directory.set_hosts(self.view.hosts, self.clock.now())
 
+    def _find_peer_addresses(self) -> dict[str, tuple[str, int]]:
+        """Return the addresses of other hosts; invalid ones are logged."""
+        addresses = {}
+        for host in self.view.hosts.values():
+            if host.name == self.host_config.name or not host.peer:
+                continue
+            try:
+                addresses[host.name] = split_address(host.peer)
+            except ValueError as error:
+                self.log.add(
+                    "view",
+                    event="bad_peer_address",
+                    what=host.name,
+                    cause=str(error),
+                )
+        return addresses
+
     def _apply_configuration(self) -> None:
         configuration = self.view.configuration
         assert configuration is not None
--- a/wigeongw/gateway/state_test.py
+++ b/wigeongw/gateway/state_test.py
@@ -53,6 +53,17 @@
         view = site_view.apply_changes(self.state.view, changes, 0.0, NEVER)
         self.state.apply_view(view)
 
+    def test_invalid_peer_address_keeps_the_other_hosts(self) -> None:
+        good = Host("h2", "127.0.0.1:2", "amman", "127.0.0.1:9")
+        for peer in ("nonsense", "127.0.0.1:", ":"):
+            with self.subTest(peer):
+                bad = Host("h3", "127.0.0.1:3", "amman", peer)
+                self.apply_changes(good, bad)
+                self.assertEqual(
+                    self.state.peer_addresses, {"h2": ("127.0.0.1", 9)}
+                )
+                self.assertIn("bad_peer_address", self.state.log.lines[-1])
+
     def cold_rate(self, hosts: int) -> float:
         """Return the expected rate of the cold limit with so many hosts."""
         service = self.state.service("s")
--- a/wigeongw/gateway/upstream_sender.py
+++ b/wigeongw/gateway/upstream_sender.py
@@ -87,11 +87,11 @@
         pool: UpstreamPool,
         dialect: Dialect,
         observations: ObservationExchange,
-        rate_limits: RateLimitReader,
+        limit_reader: RateLimitReader,
         rate_limiter: RateLimiter,
     ) -> None:
         self.state = state
-        self.rate_limits = rate_limits
+        self.limit_reader = limit_reader
         self.rate_limiter = rate_limiter
         self.pool = pool
         self.dialect = dialect
@@ -189,7 +189,7 @@
         if misdirected:
             state.misdirected = True
         else:
-            self.rate_limits.read(
+            self.limit_reader.read(
                 state, reply, response_kind, request.request_id
             )
         if misdirected or rejected:
