--- a/wigeongw/commands/commands_test.py
+++ b/wigeongw/commands/commands_test.py
@@ -5,7 +5,7 @@
 import unittest
 
 from standins.site_case import SiteCase
-from standins.site_processes import Process
+from standins.site_process import Process
 from standins.site_processes import SiteProcesses
 
 BASE = """
