--- /dev/null
+++ b/wigeongw/adapters/http_upstream_client_test.py
@@ -0,0 +1,76 @@
+"""Tests of the rate limits that the client reads from responses."""
+
+import asyncio
+from contextlib import AsyncExitStack
+import unittest
+
+import logbook
+
+from standins.scripted_upstream import ReceivedRequest
+from standins.scripted_upstream import response_bytes
+from standins.scripted_upstream import ScriptedUpstream
+from wigeongw.adapters.http_upstream_client import HttpUpstreamClient
+from wigeongw.adapters.http_upstream_client import new_session
+from wigeongw.adapters.http_upstream_client import NOT_RUN
+from wigeongw.adapters.http_upstream_client import RATE_LIMIT
+from wigeongw.core.clock import Clock
+from wigeongw.core.records import Upstream
+from wigeongw.decisions.messages import LimitReport
+from wigeongw.ports.errors import ShedError
+from wigeongw.ports.upstream import Call
+
+CALL = Call("id-1", "GET", "/", (), None, 2_000.0)
+
+
+class RateLimitTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.stack = await self.enterAsyncContext(AsyncExitStack())
+        self.status = 200
+        self.lines: list[str] = []
+        server = ScriptedUpstream(self.answer)
+        await server.start(self.stack)
+        self.upstream = Upstream("u", server.address, "s", "amman")
+        session = await self.stack.enter_async_context(new_session(True))
+        unpooled = await self.stack.enter_async_context(new_session(False))
+        self.client = HttpUpstreamClient(session, unpooled, Clock())
+
+    async def answer(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(response_bytes(self.status, b"", *self.lines))
+
+    async def named_limit(self, *values: str) -> LimitReport | None:
+        self.lines = [f"{RATE_LIMIT}: {value}" for value in values]
+        reply = await self.client.call(self.upstream, CALL)
+        await reply.close()
+        return reply.limit
+
+    async def test_response_names_a_limit_or_none(self) -> None:
+        self.assertEqual(await self.named_limit("1.5"), LimitReport(1.5))
+        self.assertEqual(await self.named_limit(), LimitReport(None))
+
+    async def test_invalid_limit_is_logged_once_and_says_nothing(self) -> None:
+        with logbook.TestHandler() as handler:
+            for values in (("",), ("many",), ("-1",), ("inf",), ("1", "1")):
+                with self.subTest(values):
+                    self.assertIsNone(await self.named_limit(*values))
+        lines = [
+            r.message for r in handler.records if "rate limit" in r.message
+        ]
+        self.assertEqual(len(lines), 1, lines)
+        self.assertIn("id-1", lines[0])
+
+    async def test_shed_request_names_a_limit_but_no_end(self) -> None:
+        self.status = 503
+        for limit_lines, expected in (
+            ([f"{RATE_LIMIT}: 2"], LimitReport(2.0)),
+            ([], None),
+        ):
+            self.lines = [f"{NOT_RUN}: full", *limit_lines]
+            with self.assertRaises(ShedError) as raised:
+                await self.client.call(self.upstream, CALL)
+            self.assertEqual(raised.exception.limit, expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wigeongw/gateway/rate_limit_test.py
+++ b/wigeongw/gateway/rate_limit_test.py
@@ -117,6 +117,16 @@
         self.assertEqual(status, 200)
         self.assertEqual(self.upstreams[0].arrivals, [])
 
+    async def test_cold_upstream_exceeds_the_rate_limit_that_it_names(
+        self,
+    ) -> None:
+        self.upstreams[0].rate_limits = ("2",)
+        self.upstreams[0].cold_ms = 9_000
+        self.upstreams[1].load = FULL
+        await self.send_at_rate(30.0, 4_500.0)
+        self.assert_within_limit(2.0)
+        self.assertGreater(len(self.upstreams[0].arrivals), 0)
+
     async def test_client_waits_although_no_grant_can_come_in_time(
         self,
     ) -> None:
