A limit that comes and goes gains no requests; late responses end none

In wigeongw serve each renewed naming of a limit began with a granted request, so an upstream whose answers name it in turns got 40 requests in 0.4 s at a limit of 1 a second (test; 2 now). The bucket of a limit that has ended is kept. A response whose end is reported over 0.2 s after its head says nothing about the end of a limit.

--- a/wigeongw/daemon/dispatcher.py
+++ b/wigeongw/daemon/dispatcher.py
@@ -252,8 +252,11 @@
         handed_over = False
 
         def release_permit(verdict: Verdict) -> None:
+            limit = state.limit
+            if limit is not None:
+                limit = limit.after(self.clock.now() - state.head_at)
             self.permit_manager.release(
-                attempt_id, verdict, state.head_ms, state.start, state.limit
+                attempt_id, verdict, state.head_ms, state.start, limit
             )
 
         try:
@@ -264,7 +267,8 @@
             )
             call = self._build_call(request)
             reply = await self.upstream_client.call(upstream, call)
-            state.head_ms = self.clock.now() - started_at
+            state.head_at = self.clock.now()
+            state.head_ms = state.head_at - started_at
             state.start = reply.start
             state.limit = reply.limit
             exchange = Exchange(reply, held, release_permit)
@@ -278,6 +282,7 @@
         except UpstreamError as error:
             state.verdict = error.verdict
             if isinstance(error, ShedError):
+                state.head_at = self.clock.now()
                 state.start = error.start
                 state.limit = error.limit
                 if error.leaving:
@@ -427,6 +432,7 @@
 
     Attributes:
         head_ms: time from sending the request to the response head; 0 before.
+        head_at: when the response head arrived, monotonic milliseconds.
         start: start identity that the upstream reported; empty when unknown.
         verdict: reported with the permit when the attempt fails.
         limit: what the response said about a rate limit; None without one.
@@ -434,6 +440,7 @@
 
     def __init__(self) -> None:
         self.head_ms = 0.0
+        self.head_at = 0.0
         self.start = ""
         self.verdict = Verdict.FAILED
         self.limit: LimitReport | None = None
--- a/wigeongw/decisions/grantor.py
+++ b/wigeongw/decisions/grantor.py
@@ -337,13 +337,17 @@
             Revocations of the permits that could be used more than once.
         """
         if limit.per_s is None:
+            tracked.ended_rate_limit = tracked.rate_limit
             tracked.rate_limit = None
             return []
         terms = self._grant_terms(limit.per_s)
         if tracked.rate_limit is not None:
             tracked.rate_limit.set_terms(terms, now)
             return []
-        tracked.rate_limit = LimitGrantor(terms, True, now)
+        tracked.rate_limit = tracked.ended_rate_limit
+        if tracked.rate_limit is None:
+            tracked.rate_limit = LimitGrantor(terms, True, now)
+        tracked.rate_limit.set_terms(terms, now)
         return self._revocations(tracked.upstream.name)
 
     def _is_expired(self, permit: Permit, now: float) -> bool:
--- a/wigeongw/decisions/grantor_state.py
+++ b/wigeongw/decisions/grantor_state.py
@@ -45,6 +45,9 @@
             arrived, monotonic milliseconds.
         rate_limit: grants requests within the rate limit of the upstream;
             None when it names no limit.
+        ended_rate_limit: the one before, when the limit has ended. It is used
+            again if the upstream names a limit anew, so that a limit that
+            comes and goes gains no requests.
     """
 
     upstream: Upstream
@@ -54,6 +57,7 @@
     seen_at: float = 0.0
     checked_at: float = float("-inf")
     rate_limit: LimitGrantor | None = None
+    ended_rate_limit: LimitGrantor | None = None
 
 
 @dataclass(slots=True)
--- a/wigeongw/decisions/messages.py
+++ b/wigeongw/decisions/messages.py
@@ -8,6 +8,9 @@
 from dataclasses import dataclass
 import enum
 
+# Age at which a response no longer shows that a rate limit has ended.
+MAX_END_AGE_MS = 200.0
+
 
 class Verdict(enum.IntEnum):
     """Result of the request that used a permit, as the holder reports it.
@@ -68,6 +71,19 @@
 
     per_s: float | None
 
+    def after(self, age_ms: float) -> "LimitReport | None":
+        """Return what still holds when the response is reported later.
+
+        The end of a long response is reported long after its head was
+        received. Its upstream may have named a limit since.
+
+        Args:
+            age_ms: milliseconds since the head was received.
+        """
+        if self.per_s is None and age_ms > MAX_END_AGE_MS:
+            return None
+        return self
+
 
 @dataclass(frozen=True, slots=True)
 class Return:
--- a/wigeongw/decisions/permit_rate_limit_test.py
+++ b/wigeongw/decisions/permit_rate_limit_test.py
@@ -34,6 +34,7 @@
 WINDOW_MS = 4_000.0
 UPSTREAMS = tuple(Upstream(n, "", "dial-watch", "amman") for n in ("u1", "u2"))
 RULES = PermitSettings()
+LIMIT = LimitReport(1.0)
 
 
 class PermitSite:
@@ -160,6 +161,32 @@
         recent = [t for t in site.sent["u1"] if t > site.now - 1_000.0]
         self.assertGreater(len(recent), 20)
 
+    def test_limit_that_comes_and_goes_gains_requests(self) -> None:
+        site = PermitSite(1)
+        grantor = site.grantor
+        tracked = grantor.upstreams["u1"]
+        granted = 0
+        for step in range(40):
+            site.now = step * 10.0
+            named = Return(POOL, 0, "u1", Verdict.GOOD, 1.0, "", LIMIT)
+            grantor.take_back("h0", named, site.now)
+            limit = tracked.rate_limit
+            assert limit is not None
+            granted += limit.grant(limit.terms, site.now) <= 0.0
+            ended = Return(
+                POOL, 0, "u1", Verdict.GOOD, 1.0, "", LimitReport(None)
+            )
+            grantor.take_back("h0", ended, site.now)
+        self.assertLessEqual(granted, 2)
+
+    def test_long_response_ends_a_limit_that_was_named_meanwhile(
+        self,
+    ) -> None:
+        ended = LimitReport(None)
+        self.assertEqual(ended.after(50.0), ended)
+        self.assertIsNone(ended.after(2_000.0))
+        self.assertEqual(LIMIT.after(2_000.0), LIMIT)
+
     def test_hosts_without_a_grantor_keep_the_limit(self) -> None:
         for holders in (1, SLOTS):
             with self.subTest(holders=holders):
