A response to an older request does not end a limit that was named since

On the platform's hosts a response is read when it is complete, its head is older: a download that began before the limit would have ended it for all requests of this host until the next probe.

--- a/wigeongw/gateway/prober.py
+++ b/wigeongw/gateway/prober.py
@@ -113,6 +113,7 @@
         ).encode("latin-1")
         self.state.metrics.count("probes_total")
         connection = await self.pool.acquire(target.target)
+        sent_at = self.state.clock.now()
         reply = await connection.exchange(head, b"", "", False)
         self.pool.release(target.target, connection)
         now = self.state.clock.now()
@@ -127,7 +128,7 @@
             )
             return
         target.record_reachable()
-        self.limit_reader.read(target, reply, ResponseKind.PROBE)
+        self.limit_reader.read(target, reply, ResponseKind.PROBE, sent_at)
         healthy = reply.status == HTTP_OK
         sample = self.dialect.load(
             reply.fields, now, healthy, ResponseKind.PROBE
--- a/wigeongw/gateway/rate_limit_reader.py
+++ b/wigeongw/gateway/rate_limit_reader.py
@@ -32,6 +32,7 @@
         target: TargetState,
         reply: BufferedReply,
         response_kind: ResponseKind,
+        sent_at: float,
         request_id: str = "",
     ) -> None:
         """Update the rate limit of an upstream from one of its responses.
@@ -42,6 +43,7 @@
             target: the upstream that sent the response.
             reply: the response.
             response_kind: kind of request that the response is to.
+            sent_at: when that request was sent, monotonic clock.
             request_id: ID of that request; empty for a probe.
         """
         try:
@@ -50,20 +52,25 @@
             self._log_invalid(target, request_id, error)
             return
         before = target.limit_per_s
-        if per_s is None and not self._may_end(target, response_kind):
+        if per_s is None and not self._may_end(target, response_kind, sent_at):
             return
         target.rate_limit = RateLimit(per_s, self.state.clock.now())
         if per_s != before:
             self._log_change(target, before, per_s, response_kind, request_id)
 
     @staticmethod
-    def _may_end(target: TargetState, response_kind: ResponseKind) -> bool:
+    def _may_end(
+        target: TargetState, response_kind: ResponseKind, sent_at: float
+    ) -> bool:
         """Return whether a response without a limit means that it ended.
 
-        An upstream that rejects a request is in need, whatever it names.
+        An upstream that rejects a request is in need, whatever it names. The
+        head of a response is older than its end, so a limit that was named
+        after the request had been sent may be newer than the response.
         """
         return (
             target.rate_limit is not None
+            and target.rate_limit.at_ms <= sent_at
             and response_kind is not ResponseKind.REJECTED
         )
 
--- a/wigeongw/gateway/rate_limiter_test.py
+++ b/wigeongw/gateway/rate_limiter_test.py
@@ -264,11 +264,15 @@
 
 class RateLimitReaderTest(RateLimiterCase):
     def read(
-        self, *values: bytes, kind: ResponseKind = ResponseKind.REQUEST
+        self,
+        *values: bytes,
+        kind: ResponseKind = ResponseKind.REQUEST,
+        sent_ms_ago: float = 0.0,
     ) -> None:
         name = NAMES.rate_limit.encode()
         reply = BufferedReply(200, [(name, value) for value in values])
-        self.reader.read(self.target("h1"), reply, kind, "id-7")
+        sent_at = self.clock.now() - sent_ms_ago
+        self.reader.read(self.target("h1"), reply, kind, sent_at, "id-7")
 
     def lines(self, event: str) -> list[str]:
         lines = self.states["h1"].log.lines
@@ -307,6 +311,15 @@
         self.read(kind=ResponseKind.PROBE)
         self.assertIsNone(self.target("h1").limit_per_s)
 
+    async def test_long_response_ends_a_limit_that_was_named_meanwhile(
+        self,
+    ) -> None:
+        self.read(b"2")
+        self.read(sent_ms_ago=500.0)
+        self.assertEqual(self.target("h1").limit_per_s, 2.0)
+        self.read()
+        self.assertIsNone(self.target("h1").limit_per_s)
+
     async def test_limit_ends_with_the_start_that_named_it(self) -> None:
         self.read(b"2")
         state = self.states["h1"]
--- a/wigeongw/gateway/upstream_sender.py
+++ b/wigeongw/gateway/upstream_sender.py
@@ -138,7 +138,7 @@
             state.in_flight_since.remove(sent_at)
         elapsed_ms = self.state.clock.now() - sent_at
         attempt = self._classify_response(
-            request, placement, state, reply, connection
+            request, placement, state, reply, connection, sent_at
         )
         if attempt.reply is not None and reply.status < HTTP_SERVER_ERROR:
             estimate = self.state.work_estimate(request.route, request.service)
@@ -162,6 +162,7 @@
         state: TargetState,
         reply: BufferedReply,
         connection: UpstreamConnection,
+        sent_at: float,
     ) -> Attempt:
         """Record the load in a response and check whether it is usable.
 
@@ -190,7 +191,7 @@
             state.misdirected = True
         else:
             self.limit_reader.read(
-                state, reply, response_kind, request.request_id
+                state, reply, response_kind, sent_at, request.request_id
             )
         if misdirected or rejected:
             state.record_outcome(True, now)
