Hosts log the store's era, and who asks ahead of a relay

The logs could not tell whether a host watched from a revision that the store no longer had, nor what a relay answered to hosts whose position is higher than its own. The era of each answer is decoded and logged when it changes, a lost history names the revision asked for, and a relay logs and counts hosts that ask ahead of it. No decision reads any of it yet.

--- a/wigeongw/gateway/follower.py
+++ b/wigeongw/gateway/follower.py
@@ -12,6 +12,7 @@
 from wigeongw.ports.catalog import CatalogError
 from wigeongw.ports.catalog import ChangeBatch
 from wigeongw.ports.catalog import HistoryLostError
+from wigeongw.ports.catalog import UNKNOWN_ERA
 
 # Pause between two watches, so that several changes cost one call to the
 # store. It uses about half of the shortest time within which a change must be
@@ -45,6 +46,7 @@
         has_read_store: whether the whole store was read and can be watched
             from there.
         needs_fresh_read: whether the next full read must not be stale.
+        era: the era that the store named last.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         self.store_unreachable = False
         self.has_read_store = False
         self.needs_fresh_read = False
+        self.era = UNKNOWN_ERA
 
     async def run(self) -> None:
         """Read and watch the store until cancelled, retrying with backoff."""
@@ -65,12 +68,17 @@
             try:
                 await self._read_or_watch()
                 backoff_ms = MIN_RETRY_BACKOFF_MS
-            except HistoryLostError:
+            except HistoryLostError as error:
                 # A stale read might return a position whose history is already
                 # compacted.
                 self.has_read_store = False
                 self.needs_fresh_read = True
-                self.state.log.add("store", event="history_lost")
+                self.state.log.add(
+                    "store",
+                    event="history_lost",
+                    after=self.state.view.position,
+                    era=error.era,
+                )
             except (CatalogError, TimeoutError) as error:
                 self.record_store_failure(repr(error))
                 jitter = 0.5 + self.state.rng.random()
@@ -169,6 +177,17 @@
 
     def _apply_batch(self, batch: ChangeBatch, is_full: bool) -> None:
         now = self.state.clock.now()
+        if batch.era not in (UNKNOWN_ERA, self.era):
+            self.state.log.add(
+                "store",
+                event="era",
+                before=self.era,
+                era=batch.era,
+                after=self.state.view.position,
+                position=batch.position,
+                relayed=int(batch.relayed),
+            )
+            self.era = batch.era
         if self.store_unreachable:
             self.store_unreachable = False
             self.unreachable_at = now
--- a/wigeongw/gateway/relay.py
+++ b/wigeongw/gateway/relay.py
@@ -7,6 +7,7 @@
 
 from wigeongw.adapters import change_codec
 from wigeongw.adapters.change_codec import ChangeCodecError
+from wigeongw.core.log_throttle import LogThrottle
 from wigeongw.decisions import relay_selection
 from wigeongw.gateway.asgi import Receive
 from wigeongw.gateway.asgi import Scope
@@ -37,6 +38,7 @@
 MIN_RELAY_LONG_POLL_MS = 25.0
 # Upper limit of a reported age, also used when the store never answered.
 MAX_REPORTED_AGE_MS = 3_600_000.0
+AHEAD_LOG_INTERVAL_MS = 1_000.0
 
 
 class RelayApp:
@@ -45,6 +47,7 @@
     def __init__(self, state: GatewayState, change_log: ChangeLog) -> None:
         self.state = state
         self.change_log = change_log
+        self.ahead_throttle = LogThrottle(AHEAD_LOG_INTERVAL_MS)
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -88,6 +91,9 @@
         if self.state.stopping:
             await send_text(send, 503, JSON, "{}")
             return
+        if position > self.change_log.last_position:
+            self.state.metrics.count("relay_asked_ahead_total")
+            self._log_asked_ahead(position)
         changes = self.change_log.changes_since(position)
         if changes is None:
             await send_text(send, HTTP_GONE, JSON, "{}")
@@ -96,6 +102,16 @@
             send, max(position, self.change_log.last_position), changes
         )
 
+    def _log_asked_ahead(self, position: int) -> None:
+        """Log a host that knows more than this one; it asks often."""
+        if self.ahead_throttle.allows("", self.state.clock.now()):
+            self.state.log.add(
+                "relay",
+                event="asked_ahead",
+                after=position,
+                position=self.change_log.last_position,
+            )
+
     async def _send_batch(
         self, send: Send, position: int, changes: list[dict[str, Any]]
     ) -> None:
--- a/wigeongw/ports/catalog.py
+++ b/wigeongw/ports/catalog.py
@@ -12,9 +12,20 @@
 from wigeongw.core.site import Host
 from wigeongw.core.site import Target
 
+# Era of an answer that names none, or none that can be read.
+UNKNOWN_ERA = -1
+
 
 class CatalogError(WigeongwError):
-    """The store failed to respond usably; a write may have taken effect."""
+    """The store failed to respond usably; a write may have taken effect.
+
+    Attributes:
+        era: the era that the store's answer named, if it answered.
+    """
+
+    def __init__(self, reason: str, era: int = UNKNOWN_ERA) -> None:
+        super().__init__(reason)
+        self.era = era
 
 
 class HistoryLostError(CatalogError):
@@ -77,12 +88,15 @@
         position: store revision from which the next watch continues.
         relayed: whether the changes came from another host, not the store.
         age_ms: milliseconds since the store sent the changes.
+        era: number of times that the store had come back from a copy when it
+            answered.
     """
 
     changes: tuple[Change, ...]
     position: int
     relayed: bool = False
     age_ms: float = 0.0
+    era: int = UNKNOWN_ERA
 
 
 class Catalog(Protocol):
