--- a/wigeongw/adapters/memory_catalog.py
+++ b/wigeongw/adapters/memory_catalog.py
@@ -1,6 +1,7 @@
 """An in-memory catalog for tests, with faults that tests can inject."""
 
 import asyncio
+from dataclasses import dataclass
 
 from wigeongw.core.clock import seconds
 from wigeongw.core.site import Host
@@ -17,6 +18,15 @@
 LONG_AGO = float("-inf")
 
 
+@dataclass(frozen=True, slots=True)
+class CatalogCopy:
+    """A copy of the catalog, from which it may come back later."""
+
+    view: SiteView
+    history: tuple[Change, ...]
+    leases: dict[int, str]
+
+
 class MemoryCatalog:
     """A catalog in memory.
 
@@ -24,6 +34,7 @@
         view: the current state.
         history: all published changes; a position is an index into them.
         leases: host names by lease ID.
+        era: how often the catalog has come back from a copy.
         down: whether every call fails.
         loses_history: whether the next watch raises HistoryLostError.
         calls: number of calls, including failed ones; a watch that returns
@@ -34,6 +45,7 @@
         self.view = SiteView()
         self.history: list[Change] = []
         self.leases: dict[int, str] = {}
+        self.era = 1
         self.down = False
         self.loses_history = False
         self.calls = 0
@@ -46,6 +58,19 @@
         async with self.changed:
             self.changed.notify_all()
 
+    def copy(self) -> CatalogCopy:
+        """Return a copy of the catalog."""
+        return CatalogCopy(self.view, tuple(self.history), dict(self.leases))
+
+    async def restore(self, copy: CatalogCopy) -> None:
+        """Come back from a copy: everything since then is lost."""
+        self.era += 1
+        self.view = copy.view
+        self.history = list(copy.history)
+        self.leases = dict(copy.leases)
+        async with self.changed:
+            self.changed.notify_all()
+
     async def read(self, fresh: bool) -> ChangeBatch:
         """Return the whole current state."""
         self._begin_call()
@@ -55,14 +80,20 @@
         changes.extend(self.view.targets.values())
         changes.extend(self.view.hosts.values())
         changes.extend(ZoneEvacuated(z) for z in self.view.evacuated)
-        return ChangeBatch(tuple(changes), len(self.history))
+        return ChangeBatch(tuple(changes), len(self.history), era=self.era)
 
     async def watch(self, position: int, wait_ms: float) -> ChangeBatch:
         """Wait for changes after a position."""
         self._begin_call()
         if self.loses_history:
             self.loses_history = False
-            raise HistoryLostError(f"no history after position {position}")
+            raise HistoryLostError(
+                f"no history after position {position}", self.era
+            )
+        if position > len(self.history):
+            raise HistoryLostError(
+                f"position {position} does not exist", self.era
+            )
         try:
             async with asyncio.timeout(seconds(wait_ms)), self.changed:
                 while len(self.history) <= position:
@@ -70,7 +101,9 @@
         except TimeoutError:
             pass
         self._begin_call()
-        return ChangeBatch(tuple(self.history[position:]), len(self.history))
+        return ChangeBatch(
+            tuple(self.history[position:]), len(self.history), era=self.era
+        )
 
     async def register(self, host: Host, lifetime_ms: float) -> int:
         """Write a host's entry under a lease that never expires by itself."""
