Store positions and leases are of one era; what was confirmed stays in force

The host that watches got 410 and kept the position that caused it; those behind it asked its log for changes after a revision that the log had not reached, and heard that there were none.

- A position is an era and a revision, ordered by era first.
Answers of an earlier era are refused, a watch from one is read again in full.
One host reads; it gives its whole view to hosts of an earlier era.
- The copy is merged into the view: what was confirmed stays in force until it is written again or a time has passed (decisions/store_return.py).
A host that starts asks others before it applies its first reading.
- A lease counts in a later era only if the copy has the host's entry under it, as its number may be another host's; else the host registers again.
- While neither the store nor the relay's store answers, hosts wait at the relay and call the store about every 1.5 s, and the registrar waits for the return.

--- a/wigeongw/adapters/memory_catalog.py
+++ b/wigeongw/adapters/memory_catalog.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from dataclasses import replace
 
 from wigeongw.core.clock import seconds
 from wigeongw.core.site import Host
@@ -12,7 +13,9 @@
 from wigeongw.ports.catalog import ChangeBatch
 from wigeongw.ports.catalog import HistoryLostError
 from wigeongw.ports.catalog import HostGone
+from wigeongw.ports.catalog import Lease
 from wigeongw.ports.catalog import LeaseLostError
+from wigeongw.ports.catalog import StorePosition
 from wigeongw.ports.catalog import ZoneEvacuated
 
 LONG_AGO = float("-inf")
@@ -80,51 +83,54 @@
         changes.extend(self.view.targets.values())
         changes.extend(self.view.hosts.values())
         changes.extend(ZoneEvacuated(z) for z in self.view.evacuated)
-        return ChangeBatch(tuple(changes), len(self.history), era=self.era)
+        return ChangeBatch(tuple(changes), self._position(), is_full=True)
 
-    async def watch(self, position: int, wait_ms: float) -> ChangeBatch:
+    async def watch(
+        self, position: StorePosition, wait_ms: float
+    ) -> ChangeBatch:
         """Wait for changes after a position."""
         self._begin_call()
         if self.loses_history:
             self.loses_history = False
-            raise HistoryLostError(
-                f"no history after position {position}", self.era
-            )
-        if position > len(self.history):
-            raise HistoryLostError(
-                f"position {position} does not exist", self.era
-            )
+            raise HistoryLostError(f"no history after {position}", self.era)
+        revision = position.revision
+        if revision > len(self.history):
+            raise HistoryLostError(f"{position} does not exist", self.era)
         try:
             async with asyncio.timeout(seconds(wait_ms)), self.changed:
-                while len(self.history) <= position:
+                era = self.era
+                while len(self.history) <= revision and self.era == era:
                     await self.changed.wait()
         except TimeoutError:
             pass
         self._begin_call()
-        return ChangeBatch(
-            tuple(self.history[position:]), len(self.history), era=self.era
-        )
+        return ChangeBatch(tuple(self.history[revision:]), self._position())
 
-    async def register(self, host: Host, lifetime_ms: float) -> int:
+    async def register(self, host: Host, lifetime_ms: float) -> Lease:
         """Write a host's entry under a lease that never expires by itself."""
         self._begin_call()
-        lease = len(self.leases) + 1
-        self.leases[lease] = host.name
-        await self.publish(host)
-        return lease
+        number = len(self.leases) + 1
+        self.leases[number] = host.name
+        await self.publish(replace(host, lease=number))
+        return Lease(number, self.era)
 
-    async def renew(self, lease: int) -> None:
+    async def renew(self, lease: Lease) -> int:
         """Check that a lease exists."""
         self._begin_call()
-        if lease not in self.leases:
-            raise LeaseLostError(f"lease {lease} does not exist")
+        if lease.number not in self.leases:
+            raise LeaseLostError(f"{lease} does not exist", self.era)
+        return self.era
 
-    async def withdraw(self, lease: int) -> None:
+    async def withdraw(self, lease: Lease) -> None:
         """Revoke a lease and remove its host's entry."""
         self._begin_call()
-        name = self.leases.pop(lease, None)
-        if name is not None:
-            await self.publish(HostGone(name))
+        name = self.leases.pop(lease.number, None)
+        entry = self.view.hosts.get(name) if name is not None else None
+        if entry is not None and entry.lease == lease.number:
+            await self.publish(HostGone(entry.name))
+
+    def _position(self) -> StorePosition:
+        return StorePosition(self.era, len(self.history))
 
     def _begin_call(self) -> None:
         self.calls += 1
--- a/wigeongw/core/site.py
+++ b/wigeongw/core/site.py
@@ -140,12 +140,15 @@
     Attributes:
         address: ``ip:port`` that accepts client connections.
         peer: ``ip:port`` for other hosts, over TCP and UDP; may be empty.
+        lease: number of the lease that keeps the entry in the store; 0 when
+            not known.
     """
 
     name: str
     address: str
     availability_zone: str
     peer: str = ""
+    lease: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/wigeongw/decisions/relay_selection.py
+++ b/wigeongw/decisions/relay_selection.py
@@ -65,6 +65,19 @@
             name for name in self.relays + self.substitutes if name != host
         ]
 
+    def readers(self, host: str) -> list[str]:
+        """Return the hosts that read the whole store for a host.
+
+        They are its source and, where that is down, the substitutes.
+
+        Returns:
+            An empty list for a host that reads the store itself.
+        """
+        sources = self.sources(host)[:1]
+        if host in self.relays or host in self.substitutes:
+            return sources
+        return [*sources, *self.substitutes]
+
     def max_age_ms(self, source: str) -> float:
         """Return how long ago the store may have answered a source."""
         if source in self.relays and source != self.root:
--- a/wigeongw/decisions/site_view_test.py
+++ b/wigeongw/decisions/site_view_test.py
@@ -86,12 +86,12 @@
         view = site_view.apply_changes(
             view, [target("a")], returned_at + 500.0, returned_at
         )
-        view = site_view.apply_due_removals(
+        view = site_view.apply_due_changes(
             view, returned_at + REMOVAL_GRACE_MS
         )
         self.assertIn("a", view.targets)
         self.assertNotIn("h", view.hosts)
-        self.assertEqual(view.pending_removals, {})
+        self.assertEqual(view.pending, {})
 
     def test_snapshot_removes_entries_that_it_lacks(self) -> None:
         view = site_view.apply_changes(
--- a/wigeongw/gateway/asgi.py
+++ b/wigeongw/gateway/asgi.py
@@ -53,6 +53,7 @@
         lines = [
             f"peak_memory_bytes {peak}",
             f"rate_limits_in_force {limited}",
+            f"store_era {self.state.store_era}",
             *self.state.metrics.lines(),
         ]
         await send_text(send, 200, "text/plain", "\n".join(lines) + "\n")
--- a/wigeongw/gateway/borrower_test.py
+++ b/wigeongw/gateway/borrower_test.py
@@ -22,6 +22,8 @@
 from wigeongw.gateway.host_case import free_port
 from wigeongw.ports.catalog import CatalogError
 from wigeongw.ports.catalog import ChangeBatch
+from wigeongw.ports.catalog import Lease
+from wigeongw.ports.catalog import StorePosition
 from wigeongw.ports.catalog import TargetGone
 from wigeongw.ports.catalog import ZoneEvacuated
 
@@ -49,19 +51,21 @@
         await self._apply_fault()
         return await self.store.read(fresh)
 
-    async def watch(self, position: int, wait_ms: float) -> ChangeBatch:
+    async def watch(
+        self, position: StorePosition, wait_ms: float
+    ) -> ChangeBatch:
         await self._apply_fault()
         return await self.store.watch(position, wait_ms)
 
-    async def register(self, host: Host, lifetime_ms: float) -> int:
+    async def register(self, host: Host, lifetime_ms: float) -> Lease:
         await self._apply_fault()
         return await self.store.register(host, lifetime_ms)
 
-    async def renew(self, lease: int) -> None:
+    async def renew(self, lease: Lease) -> int:
         await self._apply_fault()
-        await self.store.renew(lease)
+        return await self.store.renew(lease)
 
-    async def withdraw(self, lease: int) -> None:
+    async def withdraw(self, lease: Lease) -> None:
         await self._apply_fault()
         await self.store.withdraw(lease)
 
@@ -164,8 +168,10 @@
         late, _ = self.start_late("silent")
         await self.until(lambda: late.state.ready)
         view_before = late.state.view
+        position = view_before.position
+        older = StorePosition(position.era, position.revision - 1)
         late.follower.adopt_peer_batch(
-            ChangeBatch((), view_before.position - 1, relayed=True)
+            ChangeBatch((), older, relayed=True, is_full=True)
         )
         self.assertIs(late.state.view, view_before)
 
--- a/wigeongw/gateway/follower.py
+++ b/wigeongw/gateway/follower.py
@@ -1,18 +1,25 @@
 """Keeps the host's view of the site in sync with the store."""
 
 import asyncio
+from dataclasses import replace
 
 from wigeongw.adapters.upstream_pool import UpstreamPool
 from wigeongw.core.clock import seconds
+from wigeongw.core.site import Host
 from wigeongw.decisions import relay_selection
 from wigeongw.decisions import site_view
+from wigeongw.decisions import store_return
 from wigeongw.decisions.site_view import SiteView
+from wigeongw.gateway.change_log import ChangeLog
+from wigeongw.gateway.peer_reader import PeerReader
 from wigeongw.gateway.state import GatewayState
 from wigeongw.ports.catalog import Catalog
 from wigeongw.ports.catalog import CatalogError
 from wigeongw.ports.catalog import ChangeBatch
+from wigeongw.ports.catalog import EraChangedError
 from wigeongw.ports.catalog import HistoryLostError
-from wigeongw.ports.catalog import UNKNOWN_ERA
+from wigeongw.ports.catalog import NOTHING_READ
+from wigeongw.ports.catalog import StorePosition
 
 # Pause between two watches, so that several changes cost one call to the
 # store. It uses about half of the shortest time within which a change must be
@@ -30,36 +37,47 @@
 CATCH_UP_WATCH_TIMEOUT_MS = 1.0
 MIN_RETRY_BACKOFF_MS = 100.0
 MAX_RETRY_BACKOFF_MS = 300.0
-PENDING_REMOVAL_CHECK_INTERVAL_MS = 200.0
+PENDING_CHANGE_CHECK_INTERVAL_MS = 200.0
 # Time limit for a full read with all its pages.
 FULL_READ_TIMEOUT_MS = 3_000.0
 UNREACHABLE_WATCH_TIMEOUT_MS = 1.0
+# Log events of the errors after which everything is read again.
+REREAD_EVENTS: dict[type[CatalogError], str] = {
+    HistoryLostError: "history_lost",
+    EraChangedError: "era_changed",
+}
 
 
 class Follower:
     """Reads the whole store once, then watches it for changes.
 
     Attributes:
+        change_log: receives the changes that other hosts may ask for.
         unreachable_at: when the store was last known to be unreachable, on the
             monotonic clock.
         store_unreachable: whether the last call to the store failed.
         has_read_store: whether the whole store was read and can be watched
             from there.
         needs_fresh_read: whether the next full read must not be stale.
-        era: the era that the store named last.
     """
 
     def __init__(
-        self, state: GatewayState, catalog: Catalog, pool: UpstreamPool
+        self,
+        state: GatewayState,
+        catalog: Catalog,
+        pool: UpstreamPool,
+        change_log: ChangeLog,
+        peer_reader: PeerReader,
     ) -> None:
         self.state = state
         self.catalog = catalog
         self.pool = pool
+        self.change_log = change_log
+        self.peer_reader = peer_reader
         self.unreachable_at = float("-inf")
         self.store_unreachable = False
         self.has_read_store = False
         self.needs_fresh_read = False
-        self.era = UNKNOWN_ERA
 
     async def run(self) -> None:
         """Read and watch the store until cancelled, retrying with backoff."""
@@ -68,16 +86,18 @@
             try:
                 await self._read_or_watch()
                 backoff_ms = MIN_RETRY_BACKOFF_MS
-            except HistoryLostError as error:
+            except (HistoryLostError, EraChangedError) as error:
                 # A stale read might return a position whose history is already
-                # compacted.
+                # gone.
                 self.has_read_store = False
                 self.needs_fresh_read = True
+                position = self.state.view.position
                 self.state.log.add(
                     "store",
-                    event="history_lost",
-                    after=self.state.view.position,
-                    era=error.era,
+                    event=REREAD_EVENTS[type(error)],
+                    after=position.revision,
+                    after_era=position.era,
+                    era=self.state.store_era,
                 )
             except (CatalogError, TimeoutError) as error:
                 self.record_store_failure(repr(error))
@@ -86,41 +106,37 @@
                 backoff_ms = min(MAX_RETRY_BACKOFF_MS, 2.0 * backoff_ms)
 
     async def run_settling(self) -> None:
-        """Apply removals whose grace period has ended, until cancelled.
+        """Apply pending changes that are due, until cancelled.
 
         Removals that appear just after the store was unreachable are delayed.
         """
         while True:
-            await asyncio.sleep(seconds(PENDING_REMOVAL_CHECK_INTERVAL_MS))
-            if self.state.view.pending_removals:
+            await asyncio.sleep(seconds(PENDING_CHANGE_CHECK_INTERVAL_MS))
+            if self.state.view.pending:
                 now = self.state.clock.now()
                 self._install_view(
-                    site_view.apply_due_removals(self.state.view, now)
+                    site_view.apply_due_changes(self.state.view, now)
                 )
 
     def adopt_peer_batch(self, batch: ChangeBatch) -> None:
-        """Adopt another host's changes until the store has been read.
+        """Adopt another host's view until the store has been read.
 
-        The batch may contain entries whose removal that host has not
-        applied, so the store is then read without staleness as soon as it
-        answers. Readings older than the current view are ignored.
+        The store is then read without staleness as soon as it answers.
+        Readings older than the current view are ignored.
         """
         if self.has_read_store or batch.position < self.state.view.position:
             return
-        now = self.state.clock.now()
-        view = site_view.apply_snapshot(
-            self.state.view, batch.changes, now, self.unreachable_at
-        )
-        position = batch.position
-        if position > self.state.view.position:
+        if batch.position > self.state.view.position:
             self.state.log.add(
                 "view",
                 event="borrowed",
-                position=position,
+                era=batch.position.era,
+                position=batch.position.revision,
                 age_ms=batch.age_ms,
             )
+        self.state.learn_era(batch.position.era)
         self.needs_fresh_read = True
-        self._install_view(_with_position(view, position, now - batch.age_ms))
+        self._merge(batch)
 
     def record_store_failure(self, cause: str) -> None:
         """Record that a call to the store failed."""
@@ -137,11 +153,26 @@
             recent = await self.catalog.watch(
                 batch.position, CATCH_UP_WATCH_TIMEOUT_MS
             )
-        changes = (*batch.changes, *recent.changes)
-        self._apply_batch(ChangeBatch(changes, recent.position), is_full=True)
+            if self.state.view.configuration is None:
+                await self._adopt_confirmed_state(batch)
+        if not recent.is_full:
+            changes = (*batch.changes, *recent.changes)
+            recent = ChangeBatch(changes, recent.position, is_full=True)
+        self._apply_batch(recent, batch.position)
         self.has_read_store = True
         self.needs_fresh_read = False
 
+    async def _adopt_confirmed_state(self, batch: ChangeBatch) -> None:
+        """Adopt what other hosts know before the first reading is applied.
+
+        The store may just have come back from a copy that lacks what it
+        confirmed to others.
+        """
+        hosts = [c for c in batch.changes if isinstance(c, Host)]
+        confirmed = await self.peer_reader.fetch_first(hosts)
+        if confirmed is not None:
+            self.adopt_peer_batch(confirmed)
+
     async def _read_or_watch(self) -> None:
         if not self.has_read_store:
             await self._read_all()
@@ -149,7 +180,7 @@
         position = self.state.view.position
         timeout_ms = self._watch_timeout_ms()
         batch = await self.catalog.watch(position, timeout_ms)
-        self._apply_batch(batch, is_full=False)
+        self._apply_batch(batch, position)
         if not batch.relayed:
             await asyncio.sleep(seconds(self._watch_pause_ms()))
 
@@ -175,54 +206,110 @@
         plan = relay_selection.make_plan(self.state.view.hosts)
         return self.state.host_config.name in plan.relays
 
-    def _apply_batch(self, batch: ChangeBatch, is_full: bool) -> None:
+    def _apply_batch(self, batch: ChangeBatch, since: StorePosition) -> None:
+        """Apply what the store or a relay returned.
+
+        Args:
+            batch: the changes.
+            since: the position after which they were asked for.
+        """
+        if batch.position.era < self.state.view.position.era:
+            # The host learned of a later era while the answer was on its way.
+            return
         now = self.state.clock.now()
-        if batch.era not in (UNKNOWN_ERA, self.era):
-            self.state.log.add(
-                "store",
-                event="era",
-                before=self.era,
-                era=batch.era,
-                after=self.state.view.position,
-                position=batch.position,
-                relayed=int(batch.relayed),
-            )
-            self.era = batch.era
-        if self.store_unreachable:
+        before = self.state.view
+        is_reachable = now - batch.age_ms >= self.unreachable_at
+        if self.store_unreachable and is_reachable:
             self.store_unreachable = False
             self.unreachable_at = now
             self.state.log.add("store", event="regained")
-        update = (
-            site_view.apply_snapshot if is_full else site_view.apply_changes
-        )
-        view = update(self.state.view, batch.changes, now, self.unreachable_at)
-        position = max(view.position, batch.position)
-        self._install_view(_with_position(view, position, now))
+            self.state.announce_store_return()
+        if batch.is_full:
+            self._merge(batch)
+        else:
+            self._apply_changes(batch)
+        if not batch.relayed or self._is_relay():
+            self._keep_for_others(batch, since)
+        self._log_changes(before, batch)
+
+    def _log_changes(self, before: SiteView, batch: ChangeBatch) -> None:
+        """Log the changes; of a full batch only what the view lacked."""
+        known = site_view.entries(before) if batch.is_full else {}
         for change in batch.changes:
+            if known.get(site_view.subject_of(change)) == change:
+                continue
             self.state.log.add(
                 "view",
-                position=position,
+                era=batch.position.era,
+                position=batch.position.revision,
                 change=type(change).__name__,
                 what=_change_key(change),
             )
 
+    def _apply_changes(self, batch: ChangeBatch) -> None:
+        now = self.state.clock.now()
+        view = site_view.apply_changes(
+            self.state.view, batch.changes, now, self.unreachable_at
+        )
+        position = max(view.position, batch.position)
+        self._install_view(
+            replace(view, position=position, store_responded_ms=now)
+        )
+
+    def _merge(self, batch: ChangeBatch) -> None:
+        """Merge the whole catalog into the view."""
+        now = self.state.clock.now()
+        before = self.state.view
+        view = store_return.merge_full_batch(
+            before, batch, now, self.unreachable_at
+        )
+        is_first = before.position == NOTHING_READ
+        if batch.position.era > before.position.era and not is_first:
+            self._log_era_change(before, batch)
+        self._install_view(
+            replace(
+                view,
+                position=batch.position,
+                store_responded_ms=now - batch.age_ms,
+            )
+        )
+
+    def _log_era_change(self, before: SiteView, batch: ChangeBatch) -> None:
+        """Log what the store has lost and what this host keeps in force."""
+        differences = store_return.compare(before, batch)
+        configuration = before.configuration
+        self.state.log.add(
+            "view",
+            event="era",
+            before_era=before.position.era,
+            before_position=before.position.revision,
+            era=batch.position.era,
+            position=batch.position.revision,
+            relayed=int(batch.relayed),
+            revision=configuration.revision if configuration else 0,
+            keeps_revision=int(differences.is_older_configuration),
+            missing=differences.missing,
+            revived=differences.revived,
+        )
+
+    def _keep_for_others(
+        self, batch: ChangeBatch, since: StorePosition
+    ) -> None:
+        """Keep changes for the hosts that ask this one for them."""
+        answered_at = self.state.clock.now() - batch.age_ms
+        self.state.store_answered_at = max(
+            self.state.store_answered_at, answered_at
+        )
+        if batch.is_full:
+            self.change_log.restart(batch.position)
+        else:
+            self.change_log.add(batch, since)
+
     def _install_view(self, view: SiteView) -> None:
         for target in self.state.apply_view(view):
             self.pool.close_idle(target.identity)
 
 
-def _with_position(view: SiteView, position: int, now: float) -> SiteView:
-    return SiteView(
-        view.configuration,
-        view.targets,
-        view.hosts,
-        view.evacuated,
-        position,
-        now,
-        view.pending_removals,
-    )
-
-
 def _change_key(change: object) -> object:
     for field in ("identity", "name", "availability_zone", "revision"):
         if hasattr(change, field):
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -23,9 +23,11 @@
 from wigeongw.gateway.borrower import Borrower
 from wigeongw.gateway.change_log import ChangeLog
 from wigeongw.gateway.decision_log import DecisionLog
+from wigeongw.gateway.era_catalog import EraCatalog
 from wigeongw.gateway.follower import Follower
 from wigeongw.gateway.forwarder import Forwarder
 from wigeongw.gateway.observation_exchange import ObservationExchange
+from wigeongw.gateway.peer_reader import PeerReader
 from wigeongw.gateway.peer_socket import PeerSocket
 from wigeongw.gateway.placer import Placer
 from wigeongw.gateway.prober import Prober
@@ -99,14 +101,14 @@
         self.change_log = ChangeLog()
         catalog = RelayedCatalog(
             self.state,
-            dependencies.catalog,
+            EraCatalog(self.state, dependencies.catalog),
             dependencies.session,
-            self.change_log,
         )
-        self.follower = Follower(self.state, catalog, self.pool)
-        self.borrower = Borrower(
-            self.state, self.follower, dependencies.session
+        peer_reader = PeerReader(self.state, dependencies.session)
+        self.follower = Follower(
+            self.state, catalog, self.pool, self.change_log, peer_reader
         )
+        self.borrower = Borrower(self.follower, peer_reader)
         self.registrar = Registrar(self.state, catalog, self.follower)
         placer = Placer(self.state, self.prober)
         sender = UpstreamSender(
--- a/wigeongw/gateway/registrar_test.py
+++ b/wigeongw/gateway/registrar_test.py
@@ -7,15 +7,19 @@
 import unittest
 from unittest import mock
 
+import aiohttp
+
 from wigeongw.adapters.memory_catalog import MemoryCatalog
 from wigeongw.adapters.upstream_pool import UpstreamPool
 from wigeongw.core.clock import Clock
 from wigeongw.core.metrics import Metrics
 from wigeongw.core.site import HostConfig
 from wigeongw.gateway import registrar
+from wigeongw.gateway.change_log import ChangeLog
 from wigeongw.gateway.decision_log import DecisionLog
 from wigeongw.gateway.follower import Follower
 from wigeongw.gateway.host_case import configuration
+from wigeongw.gateway.peer_reader import PeerReader
 from wigeongw.gateway.registrar import Registrar
 from wigeongw.gateway.state import GatewayState
 from wigeongw.ports.catalog import ZoneEvacuated
@@ -37,7 +41,14 @@
             Metrics(),
         )
         self.catalog = MemoryCatalog()
-        follower = Follower(state, self.catalog, UpstreamPool(clock, "x"))
+        session = await self.stack.enter_async_context(aiohttp.ClientSession())
+        follower = Follower(
+            state,
+            self.catalog,
+            UpstreamPool(clock, "x"),
+            ChangeLog(),
+            PeerReader(state, session),
+        )
         self.registrar = Registrar(state, self.catalog, follower)
         await self.catalog.publish(configuration(), ZoneEvacuated("irbid"))
         state.apply_view(self.catalog.view)
--- a/wigeongw/gateway/relay_test.py
+++ b/wigeongw/gateway/relay_test.py
@@ -22,6 +22,8 @@
 from wigeongw.ports.catalog import CatalogError
 from wigeongw.ports.catalog import ChangeBatch
 from wigeongw.ports.catalog import HostGone
+from wigeongw.ports.catalog import Lease
+from wigeongw.ports.catalog import StorePosition
 from wigeongw.ports.catalog import ZoneEvacuated
 
 NAMES = ("a", "b", "c", "d", "e")
@@ -42,7 +44,9 @@
         self.is_partitioned = False
         self.watches = 0
 
-    async def watch(self, position: int, wait_ms: float) -> ChangeBatch:
+    async def watch(
+        self, position: StorePosition, wait_ms: float
+    ) -> ChangeBatch:
         self.watches += 1
         await self._apply_partition()
         batch = await self.store.watch(position, wait_ms)
@@ -53,13 +57,13 @@
         await self._apply_partition()
         return await self.store.read(fresh)
 
-    async def register(self, host: Host, lifetime_ms: float) -> int:
+    async def register(self, host: Host, lifetime_ms: float) -> Lease:
         await self._apply_partition()
         return await self.store.register(host, lifetime_ms)
 
-    async def renew(self, lease: int) -> None:
+    async def renew(self, lease: Lease) -> int:
         await self._apply_partition()
-        await self.store.renew(lease)
+        return await self.store.renew(lease)
 
     def __getattr__(self, name: str) -> object:
         return getattr(self.store, name)
--- a/wigeongw/gateway/relayed_catalog.py
+++ b/wigeongw/gateway/relayed_catalog.py
@@ -13,20 +13,27 @@
 
 import aiohttp
 
+from wigeongw.adapters import batch_codec
+from wigeongw.adapters.change_codec import ChangeCodecError
 from wigeongw.core.clock import seconds
+from wigeongw.core.log_throttle import LogThrottle
 from wigeongw.core.site import Host
 from wigeongw.decisions import relay_selection
+from wigeongw.decisions import store_return
 from wigeongw.decisions.relay_selection import RelayPlan
-from wigeongw.gateway.change_log import ChangeLog
+from wigeongw.decisions.store_return import RelayAnswer
 from wigeongw.gateway.relay import CHANGES_PATH
-from wigeongw.gateway.relay import decode_batch
+from wigeongw.gateway.relay import changes_query
 from wigeongw.gateway.relay import HTTP_GONE
 from wigeongw.gateway.relay import RELAY_LONG_POLL_MS
 from wigeongw.gateway.state import GatewayState
 from wigeongw.ports.catalog import Catalog
 from wigeongw.ports.catalog import CatalogError
 from wigeongw.ports.catalog import ChangeBatch
+from wigeongw.ports.catalog import EraChangedError
 from wigeongw.ports.catalog import HistoryLostError
+from wigeongw.ports.catalog import Lease
+from wigeongw.ports.catalog import StorePosition
 
 T = TypeVar("T")
 
@@ -48,6 +55,14 @@
 CATCH_UP_WATCH_MS = 1.0
 # How long a relay that failed is not asked again.
 RELAY_BACKOFF_MS = 2_000.0
+# While the relay answers and cannot reach the store either, this host asks
+# the store itself about this often, and not with each poll.
+STORE_RETRY_INTERVAL_MS = 1_500.0
+# How long a host waits for its relay to read the store after its return. It
+# covers the relay's own pause, watch and full read.
+NEW_ERA_RELAY_WAIT_MS = 1_500.0
+NEW_ERA_POLL_PAUSE_MS = 50.0
+UNUSED_ANSWER_LOG_INTERVAL_MS = 1_000.0
 
 
 class RelayedCatalog:
@@ -55,7 +70,10 @@
 
     Attributes:
         backoff_until: by relay that failed, when it may be asked again.
+        store_retry_at: while neither the store nor the relay's store answers,
+            when this host may ask the store again.
         read_hosts: the hosts that the last full read returned.
+        log_throttle: bounds the lines about relays whose answers are not used.
     """
 
     def __init__(
@@ -63,20 +81,18 @@
         state: GatewayState,
         store: Catalog,
         session: aiohttp.ClientSession,
-        change_log: ChangeLog,
     ) -> None:
         self.state = state
         self.store = store
         self.session = session
-        self.change_log = change_log
         self.backoff_until: dict[str, float] = {}
+        self.store_retry_at = float("-inf")
         self.read_hosts: dict[str, Host] = {}
+        self.log_throttle = LogThrottle(UNUSED_ANSWER_LOG_INTERVAL_MS)
 
     async def read(self, fresh: bool) -> ChangeBatch:
         """Read everything from the store."""
         batch = await self._timed("read", self.store.read(fresh))
-        self.state.store_answered_at = self.state.clock.now()
-        self.change_log.restart(batch.position)
         self.read_hosts = {
             change.name: change
             for change in batch.changes
@@ -84,49 +100,62 @@
         }
         return batch
 
-    async def watch(self, position: int, wait_ms: float) -> ChangeBatch:
+    async def watch(
+        self, position: StorePosition, wait_ms: float
+    ) -> ChangeBatch:
         """Watch through a relay, or at the store without a usable relay.
 
         The store may refuse this host and serve others. Other hosts are then
         asked for what they learned.
 
+        Returns:
+            The changes, or the whole catalog when the store came back from a
+            copy and another host has read it.
+
         Raises:
             CatalogError: when neither the store nor another host answers.
+            EraChangedError: when the store came back from a copy and this
+                host has to read it.
             HistoryLostError: when the store compacted the position.
         """
         plan = relay_selection.make_plan(self._hosts())
         poll_ms = RELAY_LONG_POLL_MS
         if wait_ms <= CATCH_UP_WATCH_MS:
             poll_ms = wait_ms
-        # Only one relay is asked, because each further one might take as long
-        # to fail.
-        for relay in self._usable(plan.sources(self._own_name()))[:1]:
-            limit_ms = plan.max_age_ms(relay.name) + RELAY_DELIVERY_MS
-            batch = await self._watch_relay(relay, position, poll_ms, limit_ms)
-            if batch is not None:
-                self._keep_for_others(plan, batch, position)
-                return batch
+        batch, verdict = await self._watch_source(plan, position, poll_ms)
+        if batch is not None and verdict is RelayAnswer.USE:
+            return batch
+        is_relay_cut_off = verdict is RelayAnswer.TOO_OLD
+        if is_relay_cut_off and self.state.clock.now() < self.store_retry_at:
+            raise CatalogError("neither store nor relay answer")
         try:
             return await self._watch_store(position, wait_ms)
+        except EraChangedError:
+            batch = await self._read_from_source(plan, position)
+            if batch is None:
+                raise
+            return batch
         except HistoryLostError:
             raise
         except CatalogError:
+            if is_relay_cut_off:
+                self._delay_next_store_call()
             batch = await self._watch_last_sources(plan, position)
             if batch is None:
                 raise
             return batch
 
-    async def register(self, host: Host, lifetime_ms: float) -> int:
+    async def register(self, host: Host, lifetime_ms: float) -> Lease:
         """Write a host's entry to the store and return its lease."""
         return await self._timed(
             "register", self.store.register(host, lifetime_ms)
         )
 
-    async def renew(self, lease: int) -> None:
+    async def renew(self, lease: Lease) -> int:
         """Renew a lease at the store."""
-        await self._timed("renew", self.store.renew(lease))
+        return await self._timed("renew", self.store.renew(lease))
 
-    async def withdraw(self, lease: int) -> None:
+    async def withdraw(self, lease: Lease) -> None:
         """End a lease at the store."""
         await self._timed("withdraw", self.store.withdraw(lease))
 
@@ -149,44 +178,93 @@
             metrics.count("store_calls_total", operation, outcome)
             metrics.time(elapsed_ms, "store_call_ms", operation, outcome)
 
-    async def _watch_store(self, position: int, wait_ms: float) -> ChangeBatch:
+    def _delay_next_store_call(self) -> None:
+        jitter = 0.5 + self.state.rng.random()
+        self.store_retry_at = (
+            self.state.clock.now() + STORE_RETRY_INTERVAL_MS * jitter
+        )
+
+    async def _watch_source(
+        self, plan: RelayPlan, position: StorePosition, poll_ms: float
+    ) -> tuple[ChangeBatch | None, RelayAnswer | None]:
+        """Ask the relay of this host for changes.
+
+        Only one relay is asked, because each further one might take as long
+        to fail.
+
+        Returns:
+            The answer and what to do with it; None for both without one.
+        """
+        now = self.state.clock.now()
+        is_patient = now < self.store_retry_at
+        for relay in self._usable(plan.sources(self._own_name()))[:1]:
+            batch = await self._ask(relay, position, poll_ms, is_patient)
+            if batch is None:
+                continue
+            limit_ms = plan.max_age_ms(relay.name) + RELAY_DELIVERY_MS
+            verdict = store_return.judge_relay_answer(
+                position, batch, limit_ms
+            )
+            if verdict is not RelayAnswer.USE:
+                self._record_unused(relay, batch, verdict)
+            return batch, verdict
+        return None, None
+
+    async def _read_from_source(
+        self, plan: RelayPlan, position: StorePosition
+    ) -> ChangeBatch | None:
+        """Wait until another host has read the store's new era.
+
+        Returns:
+            The whole catalog; None when nobody has it in time, or when this
+            host is the one that reads it for others.
+        """
+        deadline_at = self.state.clock.now() + NEW_ERA_RELAY_WAIT_MS
+        while self.state.clock.now() < deadline_at:
+            sources = self._usable(plan.readers(self._own_name()))
+            if not sources:
+                return None
+            batch = await self._ask(
+                sources[0], position, RELAY_LONG_POLL_MS, is_patient=True
+            )
+            if batch is not None and batch.position.era > position.era:
+                return batch if batch.is_full else None
+            await asyncio.sleep(seconds(NEW_ERA_POLL_PAUSE_MS))
+        return None
+
+    async def _watch_store(
+        self, position: StorePosition, wait_ms: float
+    ) -> ChangeBatch:
         limit_ms = wait_ms + STORE_WATCH_MARGIN_MS
         try:
             async with asyncio.timeout(seconds(limit_ms)):
-                batch = await self._timed(
+                return await self._timed(
                     "watch", self.store.watch(position, wait_ms)
                 )
         except TimeoutError as error:
             raise CatalogError(
                 f"store watch not answered within {limit_ms:.0f} ms"
             ) from error
-        self.state.store_answered_at = self.state.clock.now()
-        self.change_log.add(batch, position)
-        return batch
 
     async def _watch_last_sources(
-        self, plan: RelayPlan, position: int
+        self, plan: RelayPlan, position: StorePosition
     ) -> ChangeBatch | None:
+        """Ask the hosts that are most likely to reach the store."""
         for host in self._usable(plan.last_sources(self._own_name())):
-            batch = await self._watch_relay(
-                host, position, RELAY_LONG_POLL_MS, MAX_SUBSTITUTE_AGE_MS
+            batch = await self._ask(
+                host, position, RELAY_LONG_POLL_MS, is_patient=False
             )
-            if batch is not None:
+            if batch is None:
+                continue
+            verdict = store_return.judge_relay_answer(
+                position, batch, MAX_SUBSTITUTE_AGE_MS
+            )
+            if verdict is RelayAnswer.USE:
                 return batch
+            self._record_unused(host, batch, verdict)
+            self._back_off(host)
         return None
 
-    def _keep_for_others(
-        self, plan: RelayPlan, batch: ChangeBatch, since: int
-    ) -> None:
-        """Keep changes from the root if other hosts ask this one for them."""
-        if self._own_name() not in plan.relays:
-            return
-        answered_at = self.state.clock.now() - batch.age_ms
-        self.state.store_answered_at = max(
-            self.state.store_answered_at, answered_at
-        )
-        self.change_log.add(batch, since)
-
     def _own_name(self) -> str:
         return self.state.host_config.name
 
@@ -201,30 +279,33 @@
         return [
             known[name]
             for name in names
-            if known[name].peer and self.backoff_until.get(name, now) <= now
+            if name in known
+            and known[name].peer
+            and self.backoff_until.get(name, now) <= now
         ]
 
-    async def _watch_relay(
+    async def _ask(
         self,
         relay: Host,
-        position: int,
+        position: StorePosition,
         poll_ms: float,
-        max_age_ms: float,
+        is_patient: bool,
     ) -> ChangeBatch | None:
-        """Ask another host for changes.
+        """Ask another host for the changes after a position.
 
         Args:
             relay: the host to ask.
             position: position after which changes are wanted.
             poll_ms: how long it may wait for a change.
-            max_age_ms: limit for the time since the store answered it.
+            is_patient: whether it waits so long although it cannot reach the
+                store.
 
         Returns:
-            The changes; None when the host has none that can be used. A host
-            that fails is not asked again for a while.
+            Its answer; None when it gives none. A host that fails is not
+            asked again for a while.
         """
         url = f"http://{relay.peer}{CHANGES_PATH}"
-        query = {"after": str(position), "wait_ms": f"{poll_ms:.0f}"}
+        query = changes_query(position, poll_ms, is_patient)
         try:
             async with asyncio.timeout(
                 seconds(poll_ms + RELAY_RESPONSE_MARGIN_MS)
@@ -242,23 +323,39 @@
                     f"relay {relay.name} returned status {status}, "
                     "expected 200"
                 )
-            batch = decode_batch(raw)
-            if batch.age_ms > max_age_ms:
-                raise CatalogError(
-                    f"relay {relay.name} last reached the store "
-                    f"{batch.age_ms:.0f} ms ago, limit {max_age_ms:.0f} ms"
-                )
-            return batch
+            batch = batch_codec.decode(raw)
         except (
             aiohttp.ClientError,
             OSError,
             TimeoutError,
+            ChangeCodecError,
             CatalogError,
         ) as error:
-            backoff_until = self.state.clock.now() + RELAY_BACKOFF_MS
-            self.backoff_until[relay.name] = backoff_until
+            self._back_off(relay)
             self.state.metrics.count("relay_failures_total")
             self.state.log.add(
                 "relay", event="lost", relay=relay.name, cause=repr(error)
             )
             return None
+        self.state.learn_era(batch.position.era)
+        return batch
+
+    def _back_off(self, relay: Host) -> None:
+        """Do not ask a host again for a while."""
+        backoff_until = self.state.clock.now() + RELAY_BACKOFF_MS
+        self.backoff_until[relay.name] = backoff_until
+
+    def _record_unused(
+        self, relay: Host, batch: ChangeBatch, verdict: RelayAnswer
+    ) -> None:
+        """Record an answer that is too old or of an earlier era."""
+        self.state.metrics.count("relay_answers_unused_total", verdict.value)
+        if self.log_throttle.allows(relay.name, self.state.clock.now()):
+            self.state.log.add(
+                "relay",
+                event=verdict.value,
+                relay=relay.name,
+                age_ms=batch.age_ms,
+                era=batch.position.era,
+                position=batch.position.revision,
+            )
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -1,5 +1,6 @@
 """State that the tasks of one host share: view, upstreams, estimates."""
 
+import asyncio
 from dataclasses import replace
 import random
 
@@ -27,6 +28,7 @@
 from wigeongw.gateway.grantor_directory import GrantorDirectory
 from wigeongw.gateway.limit_shares import LimitShares
 from wigeongw.gateway.target_state import TargetState
+from wigeongw.ports.catalog import UNKNOWN_ERA
 
 # Older samples do not count for the utilization of a service.
 MAX_UTILIZATION_SAMPLE_AGE_MS = 1_000.0
@@ -51,7 +53,11 @@
         grantor_directory: the hosts that grant requests to upstreams with a
             rate limit.
         stopping: whether a graceful stop has begun.
-        store_responded_at: when the store last responded, monotonic clock.
+        store_answered_at: when the store last answered this host, or the
+            host that this one asks for others, monotonic clock.
+        store_era: the highest era of the store that this host knows.
+        store_returned: set, and then replaced, when the store answers again
+            and when the view is of a new era of the store.
     """
 
     def __init__(
@@ -83,6 +89,8 @@
         self.shares = LimitShares(host_config, clock, rng)
         self.stopping = False
         self.store_answered_at = float("-inf")
+        self.store_era = UNKNOWN_ERA
+        self.store_returned = asyncio.Event()
 
     @property
     def ready(self) -> bool:
@@ -115,8 +123,22 @@
         ):
             self._choose_subsets()
         self.shares.update(self.targets.values())
+        if view.position.era != old.position.era:
+            self.announce_store_return()
         return removed
 
+    def announce_store_return(self) -> None:
+        """Wake the tasks that wait for the store to answer again."""
+        self.store_returned.set()
+        self.store_returned = asyncio.Event()
+
+    def learn_era(self, era: int) -> None:
+        """Record an era that the store or another host named."""
+        if era <= self.store_era:
+            return
+        self.log.add("store", event="era", before=self.store_era, era=era)
+        self.store_era = era
+
     def record_lookup(self, address_count: int) -> None:
         """Count an address lookup; log one that cannot be answered."""
         if address_count:
@@ -126,7 +148,8 @@
         self.log.add(
             "lookup",
             event="no_host",
-            position=self.view.position,
+            era=self.view.position.era,
+            position=self.view.position.revision,
             has_configuration=int(self.view.configuration is not None),
             stopping=int(self.stopping),
         )
--- a/wigeongw/ports/catalog.py
+++ b/wigeongw/ports/catalog.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+import math
 from typing import Protocol
 
 from wigeongw.core.errors import WigeongwError
@@ -29,13 +30,53 @@
 
 
 class HistoryLostError(CatalogError):
-    """The store has compacted the changes since the requested revision."""
+    """The store has no history from the requested revision on."""
+
+
+class EraChangedError(CatalogError):
+    """The store came back from a copy since the requested revision."""
 
 
 class LeaseLostError(CatalogError):
     """The lease has expired or was revoked."""
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class StorePosition:
+    """A revision of the store.
+
+    When the store comes back from a copy, its revisions go back to that of
+    the copy and are given out again, so a revision has a meaning only in its
+    own era. Positions are ordered by era first.
+
+    Attributes:
+        era: how often the store had come back from a copy.
+        revision: the store's revision in that era.
+    """
+
+    era: int
+    revision: int
+
+
+# The position of a host that has read nothing.
+NOTHING_READ = StorePosition(UNKNOWN_ERA, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease that the store gave to this host.
+
+    In a later era the store may give the same number to another host.
+
+    Attributes:
+        number: identifies the lease within its era.
+        era: era of the store in which it is known to be this host's.
+    """
+
+    number: int
+    era: int
+
+
 @dataclass(frozen=True, slots=True)
 class TargetGone:
     """An upstream's entry was removed.
@@ -79,30 +120,48 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class PendingChange:
+    """A change that a host has read and will apply later.
+
+    Attributes:
+        due_in_ms: time until it takes effect.
+    """
+
+    change: Change
+    due_in_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class ChangeBatch:
     """The changes that one read or watch returned.
 
     Attributes:
         changes: changes in the order of their revisions.
-        position: store revision from which the next watch continues.
+        position: position from which the next watch continues.
         relayed: whether the changes came from another host, not the store.
         age_ms: milliseconds since the store sent the changes.
-        era: number of times that the store had come back from a copy when it
-            answered.
+        is_full: whether the changes are the whole catalog.
+        pending: for a full batch from another host, what that host has read
+            and not applied yet.
+        era_age_ms: for a full batch from another host, how long it has known
+            of the store's last return from a copy; infinity for none.
     """
 
     changes: tuple[Change, ...]
-    position: int
+    position: StorePosition
     relayed: bool = False
     age_ms: float = 0.0
-    era: int = UNKNOWN_ERA
+    is_full: bool = False
+    pending: tuple[PendingChange, ...] = ()
+    era_age_ms: float = math.inf
 
 
 class Catalog(Protocol):
     """Reads the catalog and registers this host in it.
 
-    Every method raises CatalogError when the store fails to respond.
+    Every method raises CatalogError when the store fails to respond. An
+    answer without a readable era has UNKNOWN_ERA as its era.
     """
 
     async def read(self, fresh: bool) -> ChangeBatch:
@@ -113,36 +172,39 @@
                 some seconds old costs the store less.
         """
 
-    async def watch(self, position: int, wait_ms: float) -> ChangeBatch:
+    async def watch(
+        self, position: StorePosition, wait_ms: float
+    ) -> ChangeBatch:
         """Wait for changes after a position.
 
         Args:
-            position: revision of the last changes that the caller has seen.
+            position: position of the last changes that the caller has seen.
             wait_ms: the longest time to wait; the result is empty if nothing
                 changed by then.
 
         Raises:
-            HistoryLostError: if the position was compacted and the whole
-                catalog has to be read again.
+            HistoryLostError: if the store has no history from the position
+                on and the whole catalog has to be read again.
         """
 
-    async def register(self, host: Host, lifetime_ms: float) -> int:
+    async def register(self, host: Host, lifetime_ms: float) -> Lease:
         """Write a host's entry under a new lease.
 
         Args:
             host: the entry to write.
             lifetime_ms: time to live of the lease.
-
-        Returns:
-            The ID of the lease.
         """
 
-    async def renew(self, lease: int) -> None:
+    async def renew(self, lease: Lease) -> int:
         """Renew a lease.
 
+        Returns:
+            The era of the answer. In another era than that of the lease, the
+            lease that was renewed may be another host's.
+
         Raises:
             LeaseLostError: if the lease has expired.
         """
 
-    async def withdraw(self, lease: int) -> None:
+    async def withdraw(self, lease: Lease) -> None:
         """Revoke a lease, which removes the host's entry."""
