A refusal that an upstream writes twice answers no later request

A faulty upstream wrote an earlier refusal once more on a kept connection.

A connection with unread bytes is not used again. An answer that echoes no id on a connection whose upstream has echoed one fails the exchange. A refusal is believed only if it echoes the id or is the first answer on its connection, and 408, 421, 429 and 503 that do not say not-run are no longer passed on, as callers take them for that. In wigeongw serve, where only idempotent requests use kept connections, a refusal without the id leaves the outcome unknown.

The tests failed before: the next request got 503, not-run, from the copy.

--- a/wigeongw/adapters/http_upstream_client.py
+++ b/wigeongw/adapters/http_upstream_client.py
@@ -251,6 +251,15 @@
                 "answer of another request", Outcome.UNKNOWN, Verdict.FAILED
             )
         if response.status in SHED_STATUSES and NOT_RUN in response.headers:
+            if echoed_id is None and call.method in IDEMPOTENT_METHODS:
+                # The connection may have been used before, and this may be a
+                # late copy of the answer to an earlier request.
+                response.close()
+                raise UpstreamError(
+                    "rejected without the request's id",
+                    Outcome.UNKNOWN,
+                    Verdict.FAILED,
+                )
             start = response.headers.get(START, "")
             response.release()
             # An upstream that sheds is in need, whatever it names.
--- a/wigeongw/adapters/upstream_connection.py
+++ b/wigeongw/adapters/upstream_connection.py
@@ -9,6 +9,7 @@
 import asyncio
 from dataclasses import dataclass
 from dataclasses import field
+import select
 import socket
 from typing import cast
 
@@ -60,6 +61,9 @@
         rest: queue of the further chunks of a long body, followed by None at
             its end or by an error if it was truncated.
         fields: headers by name in lower case.
+        answers_request: whether it is certain that this answers the request:
+            it echoes the request's ID, or nothing was sent before on the
+            connection.
     """
 
     status: int
@@ -67,6 +71,7 @@
     body: bytes = b""
     rest: asyncio.Queue[bytes | None | BodyError] | None = None
     fields: dict[str, str] = field(default_factory=dict)
+    answers_request: bool = False
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -77,6 +82,9 @@
             in lower case.
         waiter: completes with the response of the exchange in progress.
         is_reusable: whether the connection can serve another exchange.
+        is_kept: whether the connection has served an exchange before this one.
+        exchange_count: number of exchanges begun.
+        has_echoed: whether the upstream has echoed a request's ID on it.
         bytes_without_progress: bytes received since the last complete head
             or body bytes.
         is_skipping: whether the response being parsed is discarded.
@@ -96,6 +104,9 @@
         self.head_only = False
         self.sent = False
         self.is_reusable = True
+        self.is_kept = False
+        self.has_echoed = False
+        self.exchange_count = 0
         self.bytes_without_progress = 0
         self.foreign_responses = 0
         self.idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS
@@ -161,6 +172,20 @@
             and not self.transport.is_closing()
         )
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes have arrived that were not read yet.
+
+        On an idle connection they belong to no request.
+        """
+        if self.transport is None:
+            return False
+        sock = self.transport.get_extra_info("socket")
+        if sock is None or sock.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     async def exchange(
         self, head: bytes, body: bytes, request_id: str, head_only: bool
     ) -> BufferedReply:
@@ -181,6 +206,8 @@
             raise ExchangeError("connection is closed", False)
         self.request_id = request_id
         self.head_only = head_only
+        self.is_kept = self.exchange_count > 0
+        self.exchange_count += 1
         self.foreign_responses = 0
         self.reply = None
         self._reset_response()
@@ -234,8 +261,18 @@
         ):
             self._skip_foreign_response()
             return
+        if self.request_id and echoed is None and self.has_echoed:
+            self._fail("answer without the request's id")
+            return
+        is_echo = bool(self.request_id) and echoed is not None
+        self.has_echoed = self.has_echoed or is_echo
         self._read_keep_alive(fields)
-        self.reply = BufferedReply(status, self.headers, fields=fields)
+        self.reply = BufferedReply(
+            status,
+            self.headers,
+            fields=fields,
+            answers_request=is_echo or not self.is_kept,
+        )
         if self.head_only or status in BODILESS_STATUSES:
             self.is_reusable = self.is_reusable and not self.head_only
             self._complete_response()
--- a/wigeongw/adapters/upstream_connection_test.py
+++ b/wigeongw/adapters/upstream_connection_test.py
@@ -186,6 +186,91 @@
         self.assertEqual(self.upstream.connection_count, 1)
 
 
+class RefusalWrittenTwiceTest(UpstreamConnectionTestCase):
+    """A faulty upstream writes an earlier refusal once more.
+
+    The second copy must answer no later request: it would be told that it was
+    not run, and it runs.
+    """
+
+    def refusal(self, *lines: str) -> bytes:
+        return response_bytes(503, b"", "X-Not-Run: 1", *lines)
+
+    async def test_copy_that_waits_to_be_read_answers_the_next_request(
+        self,
+    ) -> None:
+        answer = response_bytes(200, b"two", f"{ID_HEADER}: 2")
+        for lines in ((f"{ID_HEADER}: 1",), ()):
+            with self.subTest(lines=lines):
+                self.scripts = [
+                    [self.refusal(f"{ID_HEADER}: 1"), b"PAUSE"]
+                    + [self.refusal(*lines)],
+                    [answer],
+                ]
+                status, _, first = await self.exchange("1")
+                self.assertEqual(status, 503)
+                await self.until_readable(first)
+                status, body, second = await self.exchange("2")
+                self.assertEqual((status, body), (200, b"two"))
+                self.assertIsNot(first, second)
+                self.pool.close()
+
+    async def test_copy_sent_with_the_request_answers_it(self) -> None:
+        """It arrives while the request is on its way."""
+        answer = response_bytes(200, b"two", f"{ID_HEADER}: 2")
+        cases = (
+            ("id of the earlier request", (f"{ID_HEADER}: 1",), True),
+            ("no id", (), False),
+        )
+        for case, lines, is_answered in cases:
+            with self.subTest(case=case):
+                self.scripts = [
+                    [response_bytes(200, b"one", f"{ID_HEADER}: 1")],
+                    [self.refusal(*lines), answer],
+                ]
+                await self.exchange("1")
+                if is_answered:
+                    _, body, _ = await self.exchange("2")
+                    self.assertEqual(body, b"two")
+                else:
+                    with self.assertRaises(ExchangeError) as caught:
+                        await self.exchange("2")
+                    self.assertTrue(caught.exception.sent)
+                self.pool.close()
+
+    async def test_refusal_on_a_kept_connection_counts_without_the_id(
+        self,
+    ) -> None:
+        """An upstream that echoes no IDs may have refused an earlier one."""
+        self.scripts = [
+            [response_bytes(200, b"one")],
+            [self.refusal()],
+            [self.refusal()],
+        ]
+        await self.exchange("1")
+        connection = await self.pool.acquire(self.target)
+        reply = await connection.exchange(
+            b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", b"", "2", False
+        )
+        self.assertFalse(reply.answers_request)
+        self.pool.close()
+        connection = await self.pool.acquire(self.target)
+        reply = await connection.exchange(
+            b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", b"", "3", False
+        )
+        self.assertTrue(reply.answers_request)
+
+    async def until_readable(self, connection: UpstreamConnection) -> None:
+        """Block the event loop until bytes have arrived that it cannot read.
+
+        The bytes are then read only after the next request was written.
+        """
+        assert connection.transport is not None
+        connection.transport.pause_reading()
+        await asyncio.sleep(0.1)
+        connection.transport.resume_reading()
+
+
 class UpstreamConnectionFailureTest(UpstreamConnectionTestCase):
     async def test_fails_on_incomplete_responses(self) -> None:
         cases = (
--- a/wigeongw/adapters/upstream_pool.py
+++ b/wigeongw/adapters/upstream_pool.py
@@ -37,6 +37,7 @@
             connection = idle.pop()
             if (
                 connection.is_open
+                and not connection.has_unread_bytes()
                 and now - connection.idle_since < connection.idle_timeout_ms
             ):
                 return connection
--- a/wigeongw/gateway/upstream_sender.py
+++ b/wigeongw/gateway/upstream_sender.py
@@ -22,6 +22,8 @@
 from wigeongw.ports.dialect import ResponseKind
 
 HTTP_MISDIRECTED = 421
+# A client takes each of these to say that its request did not run.
+NOT_RUN_STATUSES = frozenset((408, HTTP_MISDIRECTED, 429, 503))
 HTTP_SERVER_ERROR = 500
 HTTP_OK = 200
 HTTP_MULTIPLE_CHOICES = 300
@@ -193,11 +195,12 @@
             self.limit_reader.read(
                 state, reply, response_kind, sent_at, request.request_id
             )
-        if misdirected or rejected:
+        if rejected or reply.status in NOT_RUN_STATUSES:
             state.record_outcome(True, now)
             if reply.rest is not None:
                 connection.close()
-            return Attempt(placement, None, Outcome.NOT_RUN, True, "shed")
+            outcome = self._rejection_outcome(reply)
+            return Attempt(placement, None, outcome, True, "shed")
         defect = self._response_defect(request, reply)
         state.record_outcome(
             bool(defect) or reply.status >= HTTP_SERVER_ERROR, now
@@ -209,6 +212,20 @@
             placement, reply, Outcome.RAN, True, "answered", connection
         )
 
+    def _rejection_outcome(self, reply: BufferedReply) -> Outcome:
+        """Return what is known of a request whose response rejects it.
+
+        The request may have run if the response does not say otherwise, or
+        may be a late copy of the response to another request.
+        """
+        says_not_run = (
+            self.dialect.names.not_run in reply.fields
+            or reply.status == HTTP_MISDIRECTED
+        )
+        if says_not_run and reply.answers_request:
+            return Outcome.NOT_RUN
+        return Outcome.UNKNOWN
+
     def _response_defect(self, request: Request, reply: BufferedReply) -> str:
         """Check whether a response can be forwarded.
 
