--- a/standins/scripted_upstream.py
+++ b/standins/scripted_upstream.py
@@ -108,3 +108,29 @@
     if content_length >= 0:
         head.append(f"Content-Length: {content_length}")
     return "\r\n".join(head).encode() + HEADER_END + body
+
+
+def cut_responses(request_id_line: str) -> dict[str, bytes]:
+    """Return complete responses that tests cut at each byte.
+
+    Args:
+        request_id_line: header line that echoes the ID of the request.
+    """
+    chunked = b"3;a=b\r\none\r\n3\r\ntwo\r\n0\r\nX-Trailer: a\r\n\r\n"
+    lines = ("X-Signature: proof", request_id_line)
+    early = response_bytes(103, b"", "Link: a", length=-1)
+    return {
+        "length": response_bytes(200, b"one", *lines),
+        "length first": (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+            + "\r\n".join(lines).encode()
+            + HEADER_END
+            + b"one"
+        ),
+        "empty body": response_bytes(200, b"", *lines),
+        "chunked": response_bytes(
+            200, chunked, "Transfer-Encoding: chunked", *lines, length=-1
+        ),
+        "after an informational one": early
+        + response_bytes(200, b"one", *lines),
+    }
--- a/wigeongw/adapters/http_upstream_client_test.py
+++ b/wigeongw/adapters/http_upstream_client_test.py
@@ -7,6 +7,7 @@
 
 import logbook
 
+from standins.scripted_upstream import cut_responses
 from standins.scripted_upstream import ReceivedRequest
 from standins.scripted_upstream import response_bytes
 from standins.scripted_upstream import ScriptedUpstream
@@ -19,6 +20,7 @@
 from wigeongw.core.records import Outcome
 from wigeongw.core.records import Upstream
 from wigeongw.decisions.messages import LimitReport
+from wigeongw.ports.errors import BodyError
 from wigeongw.ports.errors import ShedError
 from wigeongw.ports.errors import UpstreamError
 from wigeongw.ports.upstream import Call
@@ -32,6 +34,7 @@
         self.status = 200
         self.lines: list[str] = []
         self.repeats = 1
+        self.raw: bytes | None = None
         server = ScriptedUpstream(self.answer)
         await server.start(self.stack)
         self.upstream = Upstream("u", server.address, "s", "amman")
@@ -42,6 +45,10 @@
     async def answer(
         self, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
+        if self.raw is not None:
+            writer.write(self.raw)
+            writer.close()
+            return
         response = response_bytes(self.status, b"", *self.lines)
         writer.write(response * self.repeats)
 
@@ -71,6 +78,32 @@
             await self.client.call(self.upstream, call)
 
 
+class CutResponseTest(ClientTestCase):
+    async def test_response_that_stops_at_any_byte_passes_as_whole(
+        self,
+    ) -> None:
+        """The upstream closes; the client gets an error or a cut body."""
+        echoed = f"{REQUEST_ID}: {CALL.identity}"
+        for case, whole in cut_responses(echoed).items():
+            for size in range(len(whole)):
+                with self.subTest(case=case, sent=whole[:size]):
+                    self.raw = whole[:size]
+                    with self.assertRaises((UpstreamError, BodyError)):
+                        reply = await self.client.call(self.upstream, CALL)
+                        async for _ in reply.body():
+                            pass
+
+    async def test_head_without_length_that_stops_passes_as_whole(
+        self,
+    ) -> None:
+        head = response_bytes(200, b"", "X-A: a", length=-1)
+        for size in range(len(head)):
+            with self.subTest(sent=head[:size]):
+                self.raw = head[:size]
+                with self.assertRaises(UpstreamError):
+                    await self.client.call(self.upstream, CALL)
+
+
 class RateLimitTest(ClientTestCase):
     async def named_limit(self, *values: str) -> LimitReport | None:
         self.lines = [f"{RATE_LIMIT}: {value}" for value in values]
--- a/wigeongw/adapters/upstream_connection_test.py
+++ b/wigeongw/adapters/upstream_connection_test.py
@@ -11,6 +11,7 @@
 import struct
 import unittest
 
+from standins.scripted_upstream import cut_responses
 from standins.scripted_upstream import ReceivedRequest
 from standins.scripted_upstream import response_bytes
 from standins.scripted_upstream import ScriptedUpstream
@@ -326,6 +327,48 @@
                 self.assertTrue(caught.exception.sent)
                 self.assertEqual(self.pool.idle, {})
 
+    async def test_response_that_stops_at_any_byte_passes_as_whole(
+        self,
+    ) -> None:
+        """The upstream then closes or resets the connection."""
+        for case, whole in cut_responses(f"{ID_HEADER}: 1").items():
+            for end in (b"CLOSE", b"RESET"):
+                for size in range(len(whole)):
+                    with self.subTest(case=case, end=end, sent=whole[:size]):
+                        self.scripts = [[whole[:size], end]]
+                        with self.assertRaises(ExchangeError):
+                            await self.exchange("1")
+                        self.assertEqual(self.pool.idle, {})
+
+    async def test_head_without_length_that_stops_passes_as_whole(
+        self,
+    ) -> None:
+        """Such a response ends with its connection, so its head must not."""
+        head = response_bytes(200, b"", f"{ID_HEADER}: 1", length=-1)
+        for end in (b"CLOSE", b"RESET"):
+            for size in range(len(head)):
+                with self.subTest(end=end, sent=head[:size]):
+                    self.scripts = [[head[:size], end]]
+                    with self.assertRaises(ExchangeError):
+                        await self.exchange("1")
+
+    async def test_silence_in_the_middle_of_a_response_ends_it(self) -> None:
+        """The caller gives up; the connection is not used again."""
+        whole = response_bytes(200, b"one", f"{ID_HEADER}: 1")
+        for size in (1, 12, 20, len(whole) - 4, len(whole) - 1):
+            with self.subTest(sent=whole[:size]):
+                self.scripts = [[whole[:size]]]
+                connection = await self.pool.acquire(self.target)
+                with self.assertRaises(TimeoutError):
+                    async with asyncio.timeout(0.05):
+                        await connection.exchange(
+                            b"GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+                            b"",
+                            "1",
+                            False,
+                        )
+                self.assertFalse(connection.is_open)
+
     async def test_refused_connection_sends_nothing(self) -> None:
         self.target = Target("a", "s", "127.0.0.1:1", "amman", 4)
         with self.assertRaises(ExchangeError) as caught:
