Requests that meet a stopping host are answered before it is killed

In a planned stop, requests whose timeout lay behind the end of the grace time were cut without an answer: those taken before the stop, and those whose body ended after it, since only the head was checked against the time left. The latter were even passed on to an upstream.

A request is checked again when its body is complete, and refused as not run while there is time.

--- a/wigeongw/gateway/proxy_app.py
+++ b/wigeongw/gateway/proxy_app.py
@@ -19,6 +19,7 @@
 from wigeongw.gateway.asgi import Receive
 from wigeongw.gateway.asgi import Scope
 from wigeongw.gateway.asgi import Send
+from wigeongw.gateway.errors import OutcomeUnknownError
 from wigeongw.gateway.errors import RequestError
 from wigeongw.gateway.errors import ResponseTruncatedError
 from wigeongw.gateway.forwarder import Forwarder
@@ -55,6 +56,7 @@
         no_requests: set while no request is in progress.
         drain_deadline: during a graceful stop, when the last response must be
             complete, on the monotonic clock; None before.
+        drain_ended: done when a graceful stop can wait no longer.
     """
 
     def __init__(
@@ -67,6 +69,9 @@
         self.no_requests = asyncio.Event()
         self.no_requests.set()
         self.drain_deadline: float | None = None
+        self.drain_ended: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -84,11 +89,17 @@
                 self.no_requests.set()
 
     async def wait_until_idle(self, deadline_at: float) -> None:
-        """Wait until no request is in progress, or until a deadline."""
+        """Wait until no request is in progress, at most until a deadline.
+
+        Requests that are then still in progress are answered, as the host is
+        about to be killed. They may have run.
+        """
         remaining_ms = deadline_at - self.state.clock.now()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds(max(0.0, remaining_ms))):
                 await self.no_requests.wait()
+        if not self.drain_ended.done():
+            self.drain_ended.set_result(None)
 
     def match_route(self, head: RequestHead, path: str) -> Route:
         """Return the route of a request.
@@ -116,19 +127,19 @@
         configuration = self.state.view.configuration
         return configuration.limits if configuration else ClientLimits()
 
-    def check_drain_deadline(self, route: Route, now: float) -> None:
+    def check_drain_deadline(self, ends_at: float) -> None:
         """Refuse a request that might not end before this host stops.
 
+        Args:
+            ends_at: when the request ends at the latest, monotonic clock.
+
         Raises:
-            RequestError: when the host is stopping and the route's timeout
-                exceeds the time left; the client should retry at another host.
+            RequestError: when the host is stopping and will not exist until
+                then; the client should retry at another host.
         """
         if self.drain_deadline is None:
             return
-        if (
-            now + route.timeout_ms + RESPONSE_DELIVERY_MARGIN_MS
-            > self.drain_deadline
-        ):
+        if ends_at + RESPONSE_DELIVERY_MARGIN_MS > self.drain_deadline:
             raise RequestError(
                 503, "stopping", retry_after_ms=STOPPING_RETRY_AFTER_MS
             )
@@ -183,13 +194,15 @@
         self.request_id = head.request_id or "-"
         path = self.scope["raw_path"].decode("latin-1")
         self.route = self.app.match_route(head, path)
-        self.app.check_drain_deadline(self.route, self.arrived_at)
+        self.app.check_drain_deadline(self.arrived_at + self.route.timeout_ms)
         self.client_deadline_ms = head.deadline_ms
         timeout_ms = min(
             head.deadline_ms or DEFAULT_DEADLINE_MS, self.route.timeout_ms
         )
         deadline_at = self.arrived_at + timeout_ms
         body = await self._read_body(head, deadline_at)
+        # The host may have been told to stop while the body arrived.
+        self.app.check_drain_deadline(deadline_at)
         self.service = self.state.split(self.route).next()
         request = Request(
             head.request_id,
@@ -225,20 +238,24 @@
         )
 
     async def _until_disconnect(self, operation: Coroutine[Any, Any, T]) -> T:
-        """Run an operation, and cancel it when the client disconnects.
+        """Run an operation; cancel it when it can no longer be delivered.
 
         Raises:
             _ClientDisconnectedError: when the client disconnected first.
+            OutcomeUnknownError: when the host is about to be killed.
         """
         running = asyncio.create_task(operation)
         disconnect = asyncio.create_task(self._wait_for_disconnect())
         try:
             await asyncio.wait(
-                (running, disconnect), return_when=asyncio.FIRST_COMPLETED
+                (running, disconnect, self.app.drain_ended),
+                return_when=asyncio.FIRST_COMPLETED,
             )
             if running.done():
                 return running.result()
-            raise _ClientDisconnectedError
+            if disconnect.done():
+                raise _ClientDisconnectedError
+            raise OutcomeUnknownError(504, "stopping")
         finally:
             disconnect.cancel()
             if not running.done():
@@ -299,7 +316,12 @@
         has_more = reply.rest is not None
         await self._send_body(reply.body, has_more)
         if has_more:
-            await self._until_disconnect(self._stream_body(attempt, reply))
+            try:
+                await self._until_disconnect(self._stream_body(attempt, reply))
+            except OutcomeUnknownError as error:
+                raise ResponseTruncatedError(
+                    "response body cut: the host stops"
+                ) from error
 
     async def _stream_body(
         self, attempt: Attempt, reply: BufferedReply
