Hosts behind a second relay do not poll it without a pause

While the store was away and a host's own renewal had failed, but its relay's answer still counted as fresh, the host polled the relay every few milliseconds: a watch with the store unreachable asked the relay not to wait. It asks with the usual long poll now.

The relay plan is computed when the hosts change, not with each poll, and what a copy and the view have in common is not merged again.

--- a/wigeongw/decisions/store_return.py
+++ b/wigeongw/decisions/store_return.py
@@ -244,13 +244,22 @@
     for zone in view.evacuated:
         if ZoneRestored(zone) not in present:
             view = site_view.schedule(view, ZoneRestored(zone), hold_ends_at)
+    known = site_view.entries(view)
     for change in changes:
-        view = _merge(change, view)
+        if not _is_known(change, known.get(site_view.subject_of(change))):
+            view = _merge(change, view)
     for removal in missing:
         view = site_view.schedule(view, removal, grace_ends_at)
     return view
 
 
+def _is_known(change: Change, known: Change | None) -> bool:
+    """Return whether an entry of a copy is the same in the view."""
+    if isinstance(change, Host) and isinstance(known, Host):
+        return change == known and change.lease == known.lease
+    return change == known
+
+
 @functools.singledispatch
 def _merge(change: Change, view: SiteView) -> SiteView:
     """Merge one entry of a copy into a view."""
--- a/wigeongw/gateway/follower.py
+++ b/wigeongw/gateway/follower.py
@@ -6,7 +6,6 @@
 from wigeongw.adapters.upstream_pool import UpstreamPool
 from wigeongw.core.clock import seconds
 from wigeongw.core.site import Host
-from wigeongw.decisions import relay_selection
 from wigeongw.decisions import site_view
 from wigeongw.decisions import store_return
 from wigeongw.decisions.site_view import SiteView
@@ -40,7 +39,8 @@
 PENDING_CHANGE_CHECK_INTERVAL_MS = 200.0
 # Time limit for a full read with all its pages.
 FULL_READ_TIMEOUT_MS = 3_000.0
-UNREACHABLE_WATCH_TIMEOUT_MS = 1.0
+# Longer than that of a catch-up watch, which does not wait at a relay either.
+UNREACHABLE_WATCH_TIMEOUT_MS = 5.0
 # Log events of the errors after which everything is read again.
 REREAD_EVENTS: dict[type[CatalogError], str] = {
     HistoryLostError: "history_lost",
@@ -203,8 +203,7 @@
         return WATCH_TIMEOUT_MS
 
     def _is_relay(self) -> bool:
-        plan = relay_selection.make_plan(self.state.view.hosts)
-        return self.state.host_config.name in plan.relays
+        return self.state.host_config.name in self.state.relay_plan.relays
 
     def _apply_batch(self, batch: ChangeBatch, since: StorePosition) -> None:
         """Apply what the store or a relay returned.
--- a/wigeongw/gateway/relay.py
+++ b/wigeongw/gateway/relay.py
@@ -7,7 +7,6 @@
 
 from wigeongw.adapters import batch_codec
 from wigeongw.core.log_throttle import LogThrottle
-from wigeongw.decisions import relay_selection
 from wigeongw.decisions import store_return
 from wigeongw.gateway.asgi import Receive
 from wigeongw.gateway.asgi import Scope
@@ -123,7 +122,7 @@
         """
         if query.is_patient:
             return query.wait_ms
-        plan = relay_selection.make_plan(self.state.view.hosts)
+        plan = self.state.relay_plan
         limit_ms = plan.max_age_ms(self.state.host_config.name)
         trusted_ms = limit_ms - self._store_age_ms()
         return min(query.wait_ms, max(MIN_RELAY_LONG_POLL_MS, trusted_ms))
--- a/wigeongw/gateway/relayed_catalog.py
+++ b/wigeongw/gateway/relayed_catalog.py
@@ -118,7 +118,7 @@
                 host has to read it.
             HistoryLostError: when the store compacted the position.
         """
-        plan = relay_selection.make_plan(self._hosts())
+        plan = self._plan()
         poll_ms = RELAY_LONG_POLL_MS
         if wait_ms <= CATCH_UP_WATCH_MS:
             poll_ms = wait_ms
@@ -268,6 +268,12 @@
     def _own_name(self) -> str:
         return self.state.host_config.name
 
+    def _plan(self) -> RelayPlan:
+        """Return who asks whom, before the first view by the hosts read."""
+        if self.state.view.hosts:
+            return self.state.relay_plan
+        return relay_selection.make_plan(self.read_hosts)
+
     def _hosts(self) -> dict[str, Host]:
         """Return the known hosts, before the first view those just read."""
         return self.state.view.hosts or self.read_hosts
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -16,6 +16,7 @@
 from wigeongw.core.site import Target
 from wigeongw.decisions import estimates
 from wigeongw.decisions import placement as placements
+from wigeongw.decisions import relay_selection
 from wigeongw.decisions.estimates import ServiceTimeEstimate
 from wigeongw.decisions.host_limits import HostRetryBudget
 from wigeongw.decisions.placement import Candidate
@@ -55,6 +56,7 @@
         stopping: whether a graceful stop has begun.
         store_answered_at: when the store last answered this host, or the
             host that this one asks for others, monotonic clock.
+        relay_plan: who asks whom for changes, by the hosts of the view.
         store_era: the highest era of the store that this host knows.
         store_returned: set, and then replaced, when the store answers again
             and when the view is of a new era of the store.
@@ -90,6 +92,7 @@
         self.stopping = False
         self.store_answered_at = float("-inf")
         self.store_era = UNKNOWN_ERA
+        self.relay_plan = relay_selection.make_plan(())
         self.store_returned = asyncio.Event()
 
     @property
@@ -308,6 +311,7 @@
         self.peer_addresses = self._find_peer_addresses()
         self.peer_ips = frozenset(ip for ip, _ in self.peer_addresses.values())
         self.grantor_directory.set_hosts(self.view.hosts, self.clock.now())
+        self.relay_plan = relay_selection.make_plan(self.view.hosts)
 
     def _find_peer_addresses(self) -> dict[str, tuple[str, int]]:
         """Return the addresses of other hosts; invalid ones are logged."""
