--- a/wigeongw/commands/record.py
+++ b/wigeongw/commands/record.py
@@ -43,6 +43,9 @@
 ) -> None:
     """Print the decisions that match all given options, oldest first.
 
+    With a request, the last return of the store from an older copy that each
+    of its hosts had learned of is printed as well.
+
     Exit codes: 0 when some match, 1 when none matches, 2 when a file cannot
     be read or a time is invalid.
     """
@@ -55,16 +58,21 @@
     since_ms = _parse_time(since, "--since") if since else float("-inf")
     until_ms = _parse_time(until, "--until") if until else float("inf")
     decisions: list[tuple[float, str]] = []
+    returns: list[tuple[float, str]] = []
     for path in files:
         for line in _read_lines(path):
             fields = parse(line)
             at_ms = float(fields.get("at", "0"))
+            if fields.get("event") == "era" and "keeps_revision" in fields:
+                returns.append((at_ms, line))
             is_match = all(
                 not value or fields.get(key) == value
                 for key, value in wanted.items()
             )
             if is_match and since_ms <= at_ms < until_ms:
                 decisions.append((at_ms, line))
+    if request:
+        decisions = [*_returns_before(decisions, returns), *decisions]
     for at_ms, line in sorted(decisions):
         time = datetime.datetime.fromtimestamp(at_ms / MS_PER_S, datetime.UTC)
         typer.echo(f"{time.isoformat(timespec='milliseconds')} {line}")
@@ -81,6 +89,21 @@
     return {key: value for key, _, value in pairs}
 
 
+def _returns_before(
+    decisions: list[tuple[float, str]], returns: list[tuple[float, str]]
+) -> list[tuple[float, str]]:
+    """Return each host's last return of the store before its decisions."""
+    first_at: dict[str, float] = {}
+    for at_ms, line in sorted(decisions, reverse=True):
+        first_at[parse(line).get("host", "")] = at_ms
+    last: dict[str, tuple[float, str]] = {}
+    for at_ms, line in sorted(returns):
+        host = parse(line).get("host", "")
+        if at_ms <= first_at.get(host, float("-inf")):
+            last[host] = (at_ms, line)
+    return list(last.values())
+
+
 def _read_lines(path: pathlib.Path) -> list[str]:
     """Return the decision log lines of a file."""
     try:
--- a/wigeongw/commands/record_test.py
+++ b/wigeongw/commands/record_test.py
@@ -1,7 +1,12 @@
-"""Tests of the parser for decision log lines."""
+"""Tests of the search in decision log lines."""
 
+import pathlib
+import tempfile
 import unittest
 
+from typer.testing import CliRunner
+
+from wigeongw.commands import main
 from wigeongw.commands import record
 
 
@@ -25,5 +30,24 @@
                 self.assertEqual(bool(fields), bool(expected))
 
 
+class RecordCommandTest(unittest.TestCase):
+    def test_request_is_shown_with_the_return_of_the_store_before_it(
+        self,
+    ) -> None:
+        first = "view: at=10 host=h event=era era=2 keeps_revision=0"
+        last = "view: at=20 host=h event=era era=3 keeps_revision=1"
+        other = "view: at=25 host=i event=era era=3 keeps_revision=0"
+        route = "route: at=30 host=h id=a era=3 position=7"
+        later = "view: at=40 host=h event=era era=4 keeps_revision=0"
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "log"
+            lines = (later, first, last, other, route)
+            path.write_text("\n".join(lines), encoding="utf-8")
+            arguments = ["record", str(path), "--request", "a"]
+            result = CliRunner().invoke(main.app, arguments)
+        found = [line.partition(" ")[2] for line in result.output.splitlines()]
+        self.assertEqual(found, [last, route])
+
+
 if __name__ == "__main__":
     unittest.main()
