--- a/wigeongw/gateway/relayed_catalog.py
+++ b/wigeongw/gateway/relayed_catalog.py
@@ -131,7 +131,7 @@
         try:
             return await self._watch_store(position, wait_ms)
         except EraChangedError:
-            batch = await self._read_from_source(plan, position)
+            batch = await self._read_from_other_host(plan, position)
             if batch is None:
                 raise
             return batch
@@ -210,7 +210,7 @@
             return batch, verdict
         return None, None
 
-    async def _read_from_source(
+    async def _read_from_other_host(
         self, plan: RelayPlan, position: StorePosition
     ) -> ChangeBatch | None:
         """Wait until another host has read the store's new era.
--- a/wigeongw/gateway/store_return_test.py
+++ b/wigeongw/gateway/store_return_test.py
@@ -3,12 +3,20 @@
 import asyncio
 import unittest
 
+from wigeongw.adapters import batch_codec
 from wigeongw.adapters.memory_catalog import CatalogCopy
+from wigeongw.core.site import Configuration
 from wigeongw.gateway.host import GatewayHost
 from wigeongw.gateway.host_case import configuration
 from wigeongw.gateway.host_case import HostCase
+from wigeongw.gateway.relay import CHANGES_PATH
+from wigeongw.gateway.relay import changes_query
+from wigeongw.gateway.relay import HTTP_GONE
+from wigeongw.ports.catalog import ChangeBatch
+from wigeongw.ports.catalog import StorePosition
 from wigeongw.ports.catalog import TargetGone
 from wigeongw.ports.catalog import ZoneEvacuated
+from wigeongw.ports.catalog import ZoneRestored
 
 # Time limit for a change to be in force at every host.
 PROPAGATION_LIMIT_S = 2.0
@@ -132,6 +140,54 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
+class RelayAnswersTest(StoreReturnTestCase):
+    async def ask(self, position: StorePosition) -> ChangeBatch | None:
+        """Ask the root for changes; None when its log is too short."""
+        root = self.host.state.relay_plan.root
+        assert root is not None
+        peer = self.host.state.view.hosts[root].peer
+        query = changes_query(position, 50.0, is_patient=False)
+        async with self.session.get(
+            f"http://{peer}{CHANGES_PATH}", params=query
+        ) as response:
+            if response.status == HTTP_GONE:
+                return None
+            return batch_codec.decode(await response.read())
+
+    async def test_relay_answers_hosts_of_other_eras_from_its_log(
+        self,
+    ) -> None:
+        await self.lose(self.catalog.copy())
+        await self.until(
+            lambda: all(h.state.view.position.era == 2 for h in self.hosts)
+        )
+        revision = self.host.state.view.position.revision
+        cases: tuple[tuple[int, int, bool], ...] = (
+            (1, revision + 5, True),
+            (1, 0, True),
+            (2, revision, False),
+            (2, revision + 5, False),
+            (3, 0, False),
+            (3, revision + 5, False),
+        )
+        for era, after, is_full in cases:
+            with self.subTest(era=era, after=after):
+                batch = await self.ask(StorePosition(era, after))
+                assert batch is not None
+                self.assertEqual(batch.is_full, is_full)
+                self.assertEqual(batch.position.era, 2)
+                if not is_full:
+                    self.assertEqual(batch.changes, ())
+        batch = await self.ask(StorePosition(1, 0))
+        assert batch is not None
+        revisions = [
+            c.revision for c in batch.changes if isinstance(c, Configuration)
+        ]
+        self.assertEqual(revisions, [2])
+        kept = [pending.change for pending in batch.pending]
+        self.assertIn(ZoneRestored("irbid"), kept)
+
+
 class HostEntriesTest(StoreReturnTestCase):
     def registered(self) -> set[str]:
         """Return the hosts in the store whose leases are theirs."""
