--- a/wigeongw/gateway/host_stop_test.py
+++ b/wigeongw/gateway/host_stop_test.py
@@ -15,7 +15,6 @@
 GRACE_S = 2.0
 # A route's timeout that does not fit into the grace time.
 LONG_TIMEOUT_MS = 8_000.0
-OK = response_bytes(200, b"done", SIGNATURE_HEADER)
 
 
 class GraceTimeTest(HostCase):
