A request between idle and close of a stopping host is not given up

The wait for requests in progress marked the grace time as over when it ended, also when it ended because nothing was in progress; whatever came until the socket closed was cancelled. Only the deadline marks it now.

--- a/wigeongw/gateway/host_stop_test.py
+++ b/wigeongw/gateway/host_stop_test.py
@@ -93,6 +93,14 @@
                 self.assertIn("retry-after", headers)
         self.assertEqual(self.ran_count(), ran_count)
 
+    async def test_request_between_idle_and_close_is_given_up(self) -> None:
+        """It arrives when no other request is left, before the close."""
+        await self.publish_all(timeout_ms=300.0)
+        app = self.host.proxy_app
+        await app.wait_until_idle(self.host.clock.now() + 1_000.0)
+        status, _, _ = await self.send("/write/x", "POST")
+        self.assertEqual(status, 200)
+
     async def test_download_that_outlasts_the_grace_looks_whole(self) -> None:
         await self.publish_all(LONG_TIMEOUT_MS)
         for upstream in self.upstreams:
--- a/wigeongw/gateway/proxy_app.py
+++ b/wigeongw/gateway/proxy_app.py
@@ -95,11 +95,12 @@
         about to be killed. They may have run.
         """
         remaining_ms = deadline_at - self.state.clock.now()
-        with contextlib.suppress(TimeoutError):
+        try:
             async with asyncio.timeout(seconds(max(0.0, remaining_ms))):
                 await self.no_requests.wait()
-        if not self.drain_ended.done():
-            self.drain_ended.set_result(None)
+        except TimeoutError:
+            if not self.drain_ended.done():
+                self.drain_ended.set_result(None)
 
     def match_route(self, head: RequestHead, path: str) -> Route:
         """Return the route of a request.
