--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,13 +13,13 @@
 AUTHORITY = "orders.example"
 TARGET = "/a/order"
 ORDER = b"0" * 300
-# The configuration has grown three times, by 350 routes as in the site file.
-EXTRA_ROUTES = 3 * 350
-# Versions come as in config_storm of the site files: one each 0.08 s for 2 s.
-STORM_GAP_S = 0.08
-VERSIONS_PER_STORM = 25
-STORM_PAUSE_S = 2.0
-STORMS = 22
+# The configuration has grown four times, by 425 routes as in the site file.
+EXTRA_ROUTES = 4 * 425
+# Versions come as in config_storm of the site file: one each 0.33 s for 4 s.
+STORM_GAP_S = 0.33
+VERSIONS_PER_STORM = 12
+STORM_PAUSE_S = 1.0
+STORMS = 20
 CLIENTS_PER_HOST = 6
 # Mean work of order-place in the users' sheet.
 WORK_S = 0.29
