--- a/review/stand_ins/small_site.py
+++ b/review/stand_ins/small_site.py
@@ -19,6 +19,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from typing import Any
 
 from aiohttp import web
@@ -606,8 +607,9 @@
     code = CANNOT_RUN
     try:
         code = asyncio.run(_play(record, play, trouble))
-    except SetupError as error:
-        record.add(f"cannot run: {error}")
+    except (Exception, asyncio.CancelledError) as error:
+        record.add(f"cannot run: {error!r}")
+        traceback.print_exc()
     finally:
         record.add(f"exit code {code}")
         record.close()
@@ -630,6 +632,10 @@
     play: Callable[[Site, AsyncExitStack, bool], Any],
     trouble: bool,
 ) -> int:
+    task = asyncio.current_task()
+    assert task is not None
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
     with tempfile.TemporaryDirectory() as scratch:
         site = Site(record, pathlib.Path(scratch))
         try:
