--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,9 +5,9 @@
 import pathlib
 import sys
 
-from review.stand_ins import small_site
-from review.stand_ins.small_site import Reply
-from review.stand_ins.small_site import Site
+from review import small_site
+from review.small_site import Reply
+from review.small_site import Site
 
 AUTHORITY = "catalogue.example"
 # Bytes that cannot be read: the beginnings of arrays that never end.
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,111 +1,84 @@
-"""A body without end keeps clients waiting past their route's timeout."""
+"""After a cut watch, an upstream that left gets requests for too long."""
 
 import asyncio
 from contextlib import AsyncExitStack
 import pathlib
 import sys
 
-from review.stand_ins import small_site
-from review.stand_ins.small_site import Reply
-from review.stand_ins.small_site import Site
-from review.stand_ins.small_site import Upstream
-from standins.scripted_upstream import ReceivedRequest
-from standins.scripted_upstream import response_bytes
+from review import small_site
+from review.small_site import Site
+from review.watch_cutter import CuttingStore
 
-AUTHORITY = "artwork.example"
-TIMEOUT_S = 2.0
-# The clients wait longer than the route's timeout.
-CLIENT_DEADLINE_S = 4.0
-# An answer may come so much later than the timeout (rule CONFIG).
-SLACK_S = 0.5
-# The rule counts eight or more requests that last longer than the timeout.
-MIN_LONG_REQUESTS = 8
-TROUBLE_AT_S = 5.0
-REQUESTS = 800
-SEND_INTERVAL_S = 0.04
-# Share of the upstreams in trouble: 0.6, as garble has in the site file.
-UPSTREAMS = 5
-FAULTY_UPSTREAMS = 3
-# Each of them spoils so many of its answers: 0.05, as garble does there.
-ANSWERS_PER_ENDLESS_ONE = 20
-WORK_S = 0.15
-# Pieces of the endless body, and the pause between two of them.
-PIECE = b"0" * (512 << 10)
-PIECE_PAUSE_S = 0.05
-
-
-class EndlessBody:
-    """Makes an upstream send some bodies without end."""
-
-    def __init__(self, site: Site, upstream: Upstream) -> None:
-        self.site = site
-        self.upstream = upstream
-        self.answer_count = 0
-
-    async def respond(
-        self,
-        request: ReceivedRequest,
-        writer: asyncio.StreamWriter,
-        echo: str,
-        load: str,
-    ) -> None:
-        """Answer a request, some with bytes until the caller closes."""
-        await asyncio.sleep(self.upstream.work_s)
-        self.answer_count += 1
-        if self.answer_count % ANSWERS_PER_ENDLESS_ONE:
-            lines = (echo, load, small_site.SIGNATURE)
-            writer.write(response_bytes(200, b"file", *lines))
-            return
-        self.site.record.add(f"{self.upstream.identity} answers without end")
-        head = ("HTTP/1.1 200 OK", echo, load, small_site.SIGNATURE)
-        writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
-        while True:
-            writer.write(PIECE)
-            await writer.drain()
-            await asyncio.sleep(PIECE_PAUSE_S)
+AUTHORITY = "orders.example"
+DRAIN_S = small_site.BOUNDS["drainS"]
+# All machines are in touch by then, and again before each further removal.
+FIRST_REMOVAL_S = 6.0
+REMOVAL_INTERVAL_S = 8.0
+REMOVALS = 5
+# For so long the store cuts each watch that waits.
+CUT_S = 0.05
+SEND_INTERVAL_S = 0.02
+# Of the clients' requests; within what the remaining upstreams bear.
+WORK_S = 0.04
 
 
 async def play(site: Site, stack: AsyncExitStack, trouble: bool) -> bool:
     """Play the case; return whether the rule held."""
-    upstreams = [
-        site.add_upstream(
-            f"i-{number}", "artwork", small_site.ZONES[number % 2], WORK_S
-        )
-        for number in range(UPSTREAMS)
+    store = CuttingStore()
+    site.store = store
+    zone = small_site.ZONES[0]
+    leaving = [f"i-leaves{number}" for number in range(REMOVALS)]
+    for identity in (*leaving, "i-stays0", "i-stays1"):
+        site.add_upstream(identity, "orders", zone, WORK_S)
+    routes = {"r-1": small_site.route(AUTHORITY, "unsafe", "orders", 2.5)}
+    document = small_site.configuration(3, routes, ["orders"])
+    await site.start(stack, [zone, zone], document)
+    end_at = (
+        site.record.now() + FIRST_REMOVAL_S + REMOVALS * REMOVAL_INTERVAL_S
+    )
+    traffic = asyncio.create_task(_send_requests(site, end_at))
+    gone_at: dict[str, float] = {}
+    await asyncio.sleep(FIRST_REMOVAL_S)
+    for identity in leaving:
+        next_at = site.record.now() + REMOVAL_INTERVAL_S
+        if trouble:
+            count = await store.cut_waiting_watches(CUT_S)
+            site.record.add(f"the store has cut {count} watches that waited")
+        # The upstream reports no draining and goes on serving.
+        await site.store.delete([f"servers/{identity}"])
+        gone_at[identity] = site.record.now()
+        site.record.add(f"the removal of {identity} is acknowledged")
+        await asyncio.sleep(next_at - site.record.now())
+    await traffic
+    late = [
+        (arrival, arrival.at_s - gone_at[arrival.upstream])
+        for arrival in site.arrivals
+        if arrival.upstream in gone_at
+        and arrival.at_s > gone_at[arrival.upstream] + DRAIN_S
     ]
-    routes = {
-        "r-1": small_site.route(AUTHORITY, "download", "artwork", TIMEOUT_S)
-    }
-    document = small_site.configuration(3, routes, ["artwork"])
-    await site.start(stack, list(small_site.ZONES), document)
-    await asyncio.sleep(TROUBLE_AT_S)
-    if trouble:
-        for upstream in upstreams[:FAULTY_UPSTREAMS]:
-            upstream.respond_hook = EndlessBody(site, upstream).respond
-    sends = []
-    for number in range(REQUESTS):
-        host = site.hosts[number % len(site.hosts)]
-        send = site.send(host, "GET", AUTHORITY, "/a/file", CLIENT_DEADLINE_S)
-        sends.append(asyncio.create_task(send))
-        await asyncio.sleep(SEND_INTERVAL_S)
-    replies = await asyncio.gather(*sends)
-    long = [reply for reply in replies if _duration_s(reply) > TIMEOUT_S]
-    held = [r for r in long if _duration_s(r) > TIMEOUT_S + SLACK_S]
-    for reply in held:
+    for arrival, late_s in late:
         site.record.add(
-            f"{reply.request_id} had no final answer "
-            f"{_duration_s(reply):.3f} s after it was sent: {reply.end}"
+            f"{arrival.request_id} reached {arrival.upstream} {late_s:.3f} s "
+            "after the acknowledgement"
         )
     site.record.add(
-        f"{len(replies)} requests, {len(long)} lasted longer than the "
-        f"route's timeout, {len(held)} of them {SLACK_S} s longer or more"
+        f"{len(late)} requests reached an upstream later than {DRAIN_S} s "
+        "after its removal was acknowledged"
     )
-    is_broken = len(held) >= MIN_LONG_REQUESTS and 4 * len(held) > len(long)
-    return not is_broken
+    for identity in leaving:
+        if not any(a.upstream == identity for a in site.arrivals):
+            raise small_site.SetupError(f"{identity} got no request at all")
+    return not late
 
 
-def _duration_s(reply: Reply) -> float:
-    return reply.ended_at - reply.sent_at
+async def _send_requests(site: Site, end_at: float) -> None:
+    sends = []
+    while site.record.now() < end_at:
+        host = site.hosts[len(sends) % len(site.hosts)]
+        send = site.send(host, "POST", AUTHORITY, "/a/order", 5.0, b"sign")
+        sends.append(asyncio.create_task(send))
+        await asyncio.sleep(SEND_INTERVAL_S)
+    await asyncio.gather(*sends)
 
 
 if __name__ == "__main__":
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 PYTHONPATH="target/deps:platform:." python3 -c '
-from clockworks import store_stand_in
-from review.stand_ins import small_site
-from standins import scripted_upstream
+from review import memory_limit
+from review import small_site
+from review import watch_cutter
 '
--- a/review/stand_ins/memory_limit.py
+++ b/review/memory_limit.py
@@ -4,12 +4,12 @@
 from contextlib import AsyncExitStack
 import pathlib
 
-from review.stand_ins import small_site
-from review.stand_ins.small_site import Host
-from review.stand_ins.small_site import read_response
-from review.stand_ins.small_site import Record
-from review.stand_ins.small_site import Reply
-from review.stand_ins.small_site import Site
+from review import small_site
+from review.small_site import Host
+from review.small_site import read_response
+from review.small_site import Record
+from review.small_site import Reply
+from review.small_site import Site
 
 KIB_PER_MIB = 1024
 CHECK_INTERVAL_S = 0.002
--- a/review/stand_ins/small_site.py
+++ b/review/small_site.py
@@ -27,7 +27,7 @@
 from standins.scripted_upstream import response_bytes
 from standins.scripted_upstream import ScriptedUpstream
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 REGION = "cymru"
 ZONES = ("caerdydd", "abertawe")
 # The bounds of the site file sites/llythyren-gw.toml.
@@ -261,7 +261,7 @@
     def __init__(self, record: Record, folder: pathlib.Path) -> None:
         self.record = record
         self.folder = folder
-        self.store = StoreStandIn()
+        self.store: StoreStandIn = StoreStandIn()
         self.hosts: list[Host] = []
         self.arrivals: list[Arrival] = []
         self.upstreams: dict[str, Upstream] = {}
