An odd entry in the store costs only itself

What callers saw: after another writer had put one entry under servers/ that cannot be read, no host took up a new version of the configuration again.

Cause: json.loads raises RecursionError for deep nesting and float() OverflowError for a huge integer. Neither became a DocumentError, so it ended Follower.run, which was started again for the same changes, for good.

Fix: all bytes of others are decoded at one boundary, which gives a value or its one typed error (core/json_text.py), and the value is checked so that it can be used later (core/site_checks.py): addresses that a socket takes, names that fit into headers, finite figures. The same for relays' batches, headers, settings and the store client of wigeongw serve. A task that fails without progress is restarted ever more rarely and says so, in both hosts; serve no longer stops for it.

--- a/wigeongw/adapters/batch_codec.py
+++ b/wigeongw/adapters/batch_codec.py
@@ -1,14 +1,18 @@
 """Encodes batches of changes as JSON for messages between hosts."""
 
-import json
 import math
 from typing import Any
 
 from wigeongw.adapters import change_codec
 from wigeongw.adapters.change_codec import ChangeCodecError
+from wigeongw.core import site_checks
+from wigeongw.core.json_text import JsonTextError
+from wigeongw.core.json_text import parse_object
+from wigeongw.core.site_checks import MAX_DURATION_MS
 from wigeongw.ports.catalog import ChangeBatch
 from wigeongw.ports.catalog import PendingChange
 from wigeongw.ports.catalog import StorePosition
+from wigeongw.ports.catalog import UNKNOWN_ERA
 
 # A change as change_codec encodes it.
 EncodedChange = dict[str, Any]
@@ -55,26 +59,41 @@
         ChangeCodecError: when it cannot be decoded.
     """
     try:
-        document = json.loads(raw)
-        return ChangeBatch(
-            tuple(change_codec.decode(c) for c in document["changes"]),
-            StorePosition(int(document["era"]), int(document["position"])),
-            relayed=True,
-            age_ms=float(document["age_ms"]),
-            is_full=bool(document.get("full", False)),
-            pending=tuple(
-                _decode_pending(pending)
-                for pending in document.get("pending", [])
-            ),
-            era_age_ms=float(document.get("era_age_ms", math.inf)),
-        )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return _decode_document(parse_object(raw))
+    except (JsonTextError, *change_codec.DECODE_ERRORS) as error:
         raise ChangeCodecError(
             f"cannot decode the batch of changes: {error!r}"
         ) from error
 
 
+def _decode_document(document: dict[str, Any]) -> ChangeBatch:
+    """Decode a batch; raises what DECODE_ERRORS of change_codec lists."""
+    era = site_checks.check_integer("era", document["era"], UNKNOWN_ERA)
+    position = site_checks.check_integer("position", document["position"])
+    era_age_ms = math.inf
+    if "era_age_ms" in document:
+        era_age_ms = _age_ms(document, "era_age_ms")
+    return ChangeBatch(
+        tuple(change_codec.decode(c) for c in document["changes"]),
+        StorePosition(era, position),
+        relayed=True,
+        age_ms=_age_ms(document, "age_ms"),
+        is_full=bool(document.get("full", False)),
+        pending=tuple(
+            _decode_pending(pending) for pending in document.get("pending", [])
+        ),
+        era_age_ms=era_age_ms,
+    )
+
+
 def _decode_pending(document: dict[str, Any]) -> PendingChange:
+    due_in_ms = document["due_in_ms"]
+    # A change that is overdue has a negative time.
+    site_checks.check_number("due_in_ms", abs(due_in_ms), MAX_DURATION_MS)
     return PendingChange(
-        change_codec.decode(document["change"]), float(document["due_in_ms"])
+        change_codec.decode(document["change"]), float(due_in_ms)
     )
+
+
+def _age_ms(document: dict[str, Any], field: str) -> float:
+    return site_checks.check_number(field, document[field], MAX_DURATION_MS)
--- a/wigeongw/adapters/change_codec.py
+++ b/wigeongw/adapters/change_codec.py
@@ -5,6 +5,7 @@
 import json
 from typing import Any
 
+from wigeongw.core import site_checks
 from wigeongw.core.errors import WigeongwError
 from wigeongw.core.site import ClientLimits
 from wigeongw.core.site import Configuration
@@ -14,6 +15,7 @@
 from wigeongw.core.site import Service
 from wigeongw.core.site import Share
 from wigeongw.core.site import Target
+from wigeongw.core.site_checks import InvalidRecordError
 from wigeongw.ports.catalog import Change
 from wigeongw.ports.catalog import HostGone
 from wigeongw.ports.catalog import TargetGone
@@ -23,6 +25,15 @@
 JsonObject = dict[str, Any]
 Decoder = Callable[[JsonObject], Change]
 DECODERS: dict[str, Decoder] = {}
+DECODE_ERRORS = (
+    InvalidRecordError,
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 class ChangeCodecError(WigeongwError):
@@ -56,7 +67,7 @@
     try:
         fields = dict(document)
         return DECODERS[fields.pop("kind")](fields)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except DECODE_ERRORS as error:
         raise ChangeCodecError(repr(error)) from error
 
 
@@ -67,42 +78,52 @@
 
 @register_decoder(Target)
 def _decode_target(fields: JsonObject) -> Change:
-    return Target(**fields)
+    target = Target(**fields)
+    site_checks.check(target)
+    return target
 
 
 @register_decoder(TargetGone)
 def _decode_target_gone(fields: JsonObject) -> Change:
-    return TargetGone(**fields)
+    return TargetGone(site_checks.check_name("identity", fields["identity"]))
 
 
 @register_decoder(Host)
 def _decode_host(fields: JsonObject) -> Change:
-    return Host(**fields)
+    host = Host(**fields)
+    site_checks.check(host)
+    return host
 
 
 @register_decoder(HostGone)
 def _decode_host_gone(fields: JsonObject) -> Change:
-    return HostGone(**fields)
+    return HostGone(site_checks.check_name("name", fields["name"]))
 
 
 @register_decoder(ZoneEvacuated)
 def _decode_zone_evacuated(fields: JsonObject) -> Change:
-    return ZoneEvacuated(**fields)
+    return ZoneEvacuated(_zone(fields))
 
 
 @register_decoder(ZoneRestored)
 def _decode_zone_restored(fields: JsonObject) -> Change:
-    return ZoneRestored(**fields)
+    return ZoneRestored(_zone(fields))
 
 
 @register_decoder(Configuration)
 def _decode_configuration(fields: JsonObject) -> Change:
-    return Configuration(
-        revision=int(fields["revision"]),
+    configuration = Configuration(
+        revision=fields["revision"],
         routes=tuple(_decode_route(route) for route in fields["routes"]),
         services={k: Service(**v) for k, v in fields["services"].items()},
         limits=ClientLimits(**fields["limits"]),
     )
+    site_checks.check(configuration)
+    return configuration
+
+
+def _zone(fields: JsonObject) -> str:
+    return site_checks.check_name("zone", fields["availability_zone"])
 
 
 def _decode_route(fields: JsonObject) -> Route:
--- a/wigeongw/adapters/etcd_store.py
+++ b/wigeongw/adapters/etcd_store.py
@@ -8,7 +8,6 @@
 import base64
 from collections.abc import AsyncIterator
 from collections.abc import Sequence
-import json
 import math
 from typing import Any
 
@@ -16,6 +15,8 @@
 
 from wigeongw.core.clock import MS_PER_S
 from wigeongw.core.clock import seconds
+from wigeongw.core.json_text import JsonTextError
+from wigeongw.core.json_text import parse_object
 from wigeongw.ports.errors import StoreError
 from wigeongw.ports.store import CommitResult
 from wigeongw.ports.store import Entry
@@ -31,6 +32,10 @@
     ValueError,
     KeyError,
     TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+    JsonTextError,
 )
 
 
@@ -52,9 +57,12 @@
 
 
 def decode_entry(key_value: dict[str, Any]) -> Entry:
-    """Decode an entry from the gateway's key-value object."""
+    """Decode an entry from the gateway's key-value object.
+
+    A key of another writer may be any bytes; it then matches no key in use.
+    """
     return Entry(
-        decode(key_value["key"]).decode(),
+        decode(key_value["key"]).decode(errors="backslashreplace"),
         decode(key_value.get("value", "")),
         int(key_value.get("mod_revision", 0)),
     )
@@ -126,7 +134,8 @@
                 f"{self.base}/v3/watch", json=request, timeout=timeout
             ) as response:
                 async for line in response.content:
-                    events = json.loads(line)["result"].get("events", ())
+                    result = parse_object(line)["result"]
+                    events = result.get("events", ())
                     if events:
                         yield tuple(decode_entry(e["kv"]) for e in events)
         except CALL_ERRORS as error:
@@ -143,18 +152,15 @@
             ) as response:
                 if response.status != 200:
                     raise StoreError(f"store: status {response.status}")
-                document = json.loads(await response.read())
+                return parse_object(await response.read())
         except CALL_ERRORS as error:
             raise StoreError(f"store: {error!r}") from error
-        if not isinstance(document, dict):
-            raise StoreError("store: the answer is no object")
-        return document
 
     @staticmethod
     def _read_int(document: dict[str, Any], key: str) -> int:
         try:
             return int(document.get(key, 0))
-        except (TypeError, ValueError) as error:
+        except (TypeError, ValueError, OverflowError) as error:
             raise StoreError(f"store: no number in {key}") from error
 
     @staticmethod
--- a/wigeongw/adapters/http_upstream_client.py
+++ b/wigeongw/adapters/http_upstream_client.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-import json
 
 import aiohttp
 import logbook
@@ -16,6 +15,8 @@
 from wigeongw.adapters.rate_limit_header import read_rate_limit
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
+from wigeongw.core.json_text import JsonTextError
+from wigeongw.core.json_text import parse_object
 from wigeongw.core.log_throttle import LogThrottle
 from wigeongw.core.records import Outcome
 from wigeongw.core.records import Upstream
@@ -195,7 +196,7 @@
         try:
             async with self.session.get(url, timeout=timeout) as response:
                 raw = await response.content.read(max_body_bytes)
-                fields = json.loads(raw)
+                fields = parse_object(raw)
                 return LoadReport(
                     str(fields["start"]),
                     int(fields["in_flight"]),
@@ -213,6 +214,8 @@
             ValueError,
             KeyError,
             TypeError,
+            OverflowError,
+            JsonTextError,
         ) as error:
             raise UpstreamError(
                 f"no report: {error!r}", Outcome.UNKNOWN, Verdict.FAILED
--- a/wigeongw/adapters/load_header.py
+++ b/wigeongw/adapters/load_header.py
@@ -9,6 +9,10 @@
 
 # Running, waiting and slots; the slowdown is optional.
 MIN_LOAD_VALUES = 3
+# Larger values are faults of the upstream.
+MAX_REQUESTS = 1_000_000.0
+MAX_SLOWDOWN = 1_000_000.0
+MAX_COLD_MS = 24 * 3_600_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +61,8 @@
         return None
     if len(values) < MIN_LOAD_VALUES:
         return None
-    if not all(map(math.isfinite, (*values, cold_ms))):
+    slowdown = values[MIN_LOAD_VALUES:][:1] or [load_format.usual_slowdown]
+    if not _are_plausible(values[:MIN_LOAD_VALUES], slowdown[0], cold_ms):
         return None
     running = int(values[0])
     if (
@@ -65,13 +70,24 @@
         and response_kind is ResponseKind.REQUEST
     ):
         running = max(0, running - 1)
-    slowdown = values[MIN_LOAD_VALUES:]
     return LoadSample(
         at_ms=now,
         running=running,
         waiting=int(values[1]),
         slots=int(values[2]),
-        slowdown=slowdown[0] / load_format.usual_slowdown if slowdown else 1.0,
+        slowdown=slowdown[0] / load_format.usual_slowdown,
         cold_left_ms=cold_ms if response_kind is ResponseKind.PROBE else None,
         healthy=healthy,
     )
+
+
+def _are_plausible(
+    requests: list[float], slowdown: float, cold_ms: float
+) -> bool:
+    """Return whether the values of a report may be used for decisions."""
+    limits = [(value, MAX_REQUESTS) for value in requests]
+    limits += [(slowdown, MAX_SLOWDOWN), (cold_ms, MAX_COLD_MS)]
+    return all(
+        math.isfinite(value) and 0.0 <= value <= highest
+        for value, highest in limits
+    )
--- a/wigeongw/adapters/upstream_connection.py
+++ b/wigeongw/adapters/upstream_connection.py
@@ -35,6 +35,7 @@
 # The fraction of the Keep-Alive timeout for which a connection is reused, so
 # that it is closed here before the upstream closes it.
 IDLE_TIMEOUT_FRACTION = 0.8
+MAX_IDLE_TIMEOUT_DIGITS = 6
 
 
 class ExchangeError(Exception):
@@ -338,7 +339,10 @@
             self.is_reusable = False
         for part in fields.get("keep-alive", "").split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
+            is_number = value.isascii() and value.isdigit()
+            if name.lower() != "timeout" or not is_number:
+                continue
+            if len(value) <= MAX_IDLE_TIMEOUT_DIGITS:
                 self.idle_timeout_ms = (
                     int(value) * 1000.0 * IDLE_TIMEOUT_FRACTION
                 )
--- a/wigeongw/adapters/upstream_pool.py
+++ b/wigeongw/adapters/upstream_pool.py
@@ -100,6 +100,6 @@
                     address,
                     port,
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise ExchangeError(f"no connection: {error!r}", False) from error
         return connection
--- a/wigeongw/core/log_throttle.py
+++ b/wigeongw/core/log_throttle.py
@@ -1,5 +1,8 @@
 """Limits how often the same problem is logged."""
 
+# Problems beyond so many different ones in an interval are not logged.
+MAX_KEYS = 200
+
 
 class LogThrottle:
     """Allows one line per key and interval.
@@ -23,5 +26,7 @@
             for other, at_ms in self.logged_at.items()
             if now - at_ms < self.interval_ms
         }
+        if len(self.logged_at) >= MAX_KEYS:
+            return False
         self.logged_at[key] = now
         return True
--- a/wigeongw/daemon/entry_host.py
+++ b/wigeongw/daemon/entry_host.py
@@ -1,7 +1,6 @@
 """Builds an entry host and runs it until it has stopped gracefully."""
 
 import asyncio
-from collections.abc import Coroutine
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from dataclasses import replace
@@ -20,6 +19,9 @@
 from wigeongw.core.clock import seconds
 from wigeongw.core.metrics import Metrics
 from wigeongw.core.records import EntryHost
+from wigeongw.core.restart_backoff import RepeatedFailure
+from wigeongw.core.task_supervisor import TaskFunction
+from wigeongw.core.task_supervisor import TaskSupervisor
 from wigeongw.daemon.decision_log import DecisionLog
 from wigeongw.daemon.dispatcher import Dispatcher
 from wigeongw.daemon.frontend import Frontend
@@ -132,6 +134,9 @@
             clock,
             rng,
         )
+        self.supervisor = TaskSupervisor(
+            clock, self.metrics, self._log_task_failure
+        )
         self.stop_requested = asyncio.Event()
         self.bound: BoundAddresses | None = None
         self.ready = asyncio.Event()
@@ -197,8 +202,8 @@
             MetricsResource(self.metrics),
             SettingsResource(self._settings_text),
         )
-        for coroutine in self._background_tasks(load_report_poller):
-            self._start_task(stack, coroutine)
+        for function in self._background_tasks(load_report_poller):
+            self._start_task(stack, function)
         return [
             self._start_server(stack, frontend, client_socket),
             self._start_server(stack, admin, admin_socket),
@@ -267,37 +272,37 @@
 
     def _background_tasks(
         self, load_report_poller: LoadReportPoller
-    ) -> list[Coroutine[Any, Any, None]]:
+    ) -> list[TaskFunction]:
         return [
-            self.decision_log.run(),
-            self.store_sync.run_watch(),
-            self.store_sync.run_reads(),
-            self.store_sync.run_lease(),
-            self.store_sync.run_fences(),
-            self.store_sync.run_host_list(),
-            self.site_tracker.run(),
-            self.permit_manager.run(),
-            self.idempotency.run(),
-            load_report_poller.run(),
+            self.decision_log.run,
+            self.store_sync.run_watch,
+            self.store_sync.run_reads,
+            self.store_sync.run_lease,
+            self.store_sync.run_fences,
+            self.store_sync.run_host_list,
+            self.site_tracker.run,
+            self.permit_manager.run,
+            self.idempotency.run,
+            load_report_poller.run,
         ]
 
     def _start_task(
-        self, stack: AsyncExitStack, coroutine: Coroutine[Any, Any, None]
+        self, stack: AsyncExitStack, function: TaskFunction
     ) -> None:
-        """Run a coroutine as a task until the stack closes.
-
-        The entry host stops when the task ends before that.
-        """
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(self._on_task_done)
+        """Run a task until the stack closes, again when it fails."""
+        task = asyncio.create_task(self.supervisor.run(function))
         stack.push_async_callback(_cancel_task, task)
 
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled():
-            return
-        error = task.exception()
-        log.error("Stopping: a background task ended: {!r}.", error)
-        self.stop_requested.set()
+    @staticmethod
+    def _log_task_failure(task: str, failure: RepeatedFailure) -> None:
+        log.error(
+            "Task {} failed {} times without progress, next start in "
+            "{:.0f} ms: {}.",
+            task,
+            failure.count,
+            failure.delay_ms,
+            failure.cause,
+        )
 
     def _start_server(
         self, stack: AsyncExitStack, app: Any, sock: socket.socket
--- a/wigeongw/daemon/store_sync.py
+++ b/wigeongw/daemon/store_sync.py
@@ -217,7 +217,12 @@
         if not entry.key.startswith(fence_prefix):
             return None
         pool = entry.key.removeprefix(fence_prefix)
-        return Fence(pool, entry.value.decode(), entry.revision)
+        try:
+            host_name = entry.value.decode()
+        except UnicodeDecodeError as error:
+            log.warning("Ignoring the fence of {!r}: {}.", pool, error)
+            return None
+        return Fence(pool, host_name, entry.revision)
 
     def _fences_to_take(self) -> list[str]:
         """Return pools with a free fence that this host should take."""
--- a/wigeongw/gateway/decision_log.py
+++ b/wigeongw/gateway/decision_log.py
@@ -17,6 +17,8 @@
 MAX_QUEUED_LINES = 4_000
 MAX_WRITE_BYTES = 65_536
 STDOUT_FD = 1
+# Values may hold what others sent.
+MAX_VALUE_CHARS = 1_000
 
 
 class DecisionLog:
@@ -92,7 +94,8 @@
             line = self.lines.popleft()
             size += len(line) + 1
             block.append(line)
-        return ("\n".join(block) + "\n").encode()
+        text = "\n".join(block) + "\n"
+        return text.encode(errors="backslashreplace")
 
 
 def _format_value(value: object) -> str:
@@ -101,4 +104,4 @@
     text = str(value)
     if not text:
         return "-"
-    return "_".join(text.split())
+    return "_".join(text[:MAX_VALUE_CHARS].split())
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -1,8 +1,6 @@
 """Assembles an entry host and runs it until a graceful stop."""
 
 import asyncio
-from collections.abc import Callable
-from collections.abc import Coroutine
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 import random
@@ -16,8 +14,11 @@
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
 from wigeongw.core.metrics import Metrics
+from wigeongw.core.restart_backoff import RepeatedFailure
 from wigeongw.core.site import HostConfig
 from wigeongw.core.site import SiteLimits
+from wigeongw.core.task_supervisor import TaskFunction
+from wigeongw.core.task_supervisor import TaskSupervisor
 from wigeongw.gateway.asgi import MetricsApp
 from wigeongw.gateway.asgi import PortRouter
 from wigeongw.gateway.borrower import Borrower
@@ -47,11 +48,6 @@
 DRAIN_ACCEPT_SHARE = 0.58
 # Time reserved at the end of the grace period for closing.
 CLOSE_MARGIN_MS = 250.0
-# Delay before a failed task is restarted.
-TASK_RESTART_DELAY_MS = 200.0
-
-
-TaskFunction = Callable[[], Coroutine[Any, Any, None]]
 
 
 @dataclass(frozen=True)
@@ -122,6 +118,9 @@
         forwarder = Forwarder(self.state, placer, sender)
         self.proxy_app = ProxyApp(self.state, forwarder, self.dialect)
         self.platform_apps = dependencies.platform_apps
+        self.supervisor = TaskSupervisor(
+            clock, self.state.metrics, self._log_task_failure
+        )
         self.stop_requested = asyncio.Event()
 
     def request_stop(self) -> None:
@@ -177,27 +176,18 @@
         self, stack: AsyncExitStack, function: TaskFunction
     ) -> None:
         """Run a task until the exit stack closes."""
-        task = asyncio.create_task(self._run_with_restarts(function))
-        stack.push_async_callback(_cancel, task)
-
-    async def _run_with_restarts(self, function: TaskFunction) -> None:
-        """Run a task, restarting it after a delay when it fails.
+        supervised = self.supervisor.run(function)
+        stack.push_async_callback(_cancel, asyncio.create_task(supervised))
 
-        Requests are served even while a background task fails.
-        """
-        while True:
-            try:
-                await function()
-                return
-            except Exception as error:
-                self.state.metrics.count("task_failures_total")
-                self.log.add(
-                    "host",
-                    event="task_failed",
-                    task=function.__qualname__,
-                    cause=repr(error),
-                )
-            await asyncio.sleep(seconds(TASK_RESTART_DELAY_MS))
+    def _log_task_failure(self, task: str, failure: RepeatedFailure) -> None:
+        self.log.add(
+            "host",
+            event="task_failed",
+            task=task,
+            repeated=failure.count,
+            delay_ms=failure.delay_ms,
+            cause=failure.cause,
+        )
 
     def _listen(self, stack: AsyncExitStack) -> http_server.EmbeddedServer:
         host_config = self.state.host_config
--- a/wigeongw/gateway/request_head.py
+++ b/wigeongw/gateway/request_head.py
@@ -10,6 +10,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+# Digits of a body length; longer numbers exceed every limit.
+MAX_LENGTH_DIGITS = 18
 MAX_DEADLINE_MS = 600_000.0
 DROPPED_REQUEST_HEADERS = HOP_BY_HOP_HEADERS | {"content-length"}
 
@@ -96,7 +98,7 @@
     text = next(iter(lengths))
     if len(lengths) > 1 or not (text.isascii() and text.isdigit()):
         raise RequestError(400, "bad_length")
-    if int(text) > max_bytes:
+    if len(text) > MAX_LENGTH_DIGITS or int(text) > max_bytes:
         raise RequestError(413, "body_too_large")
     return int(text)
 
--- a/wigeongw/settings/document.py
+++ b/wigeongw/settings/document.py
@@ -54,7 +54,7 @@
     """
     try:
         table = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         problem = Problem(name, "", f"expected valid TOML: {error}")
         raise SettingsError([problem]) from error
     return Document(table, dict.fromkeys(_key_paths(table), name), name)
