What a host keeps of the store's changes is bounded in bytes

Cause: the log of changes kept 2,000 changes whatever their size, each version of the configuration in full.

Fix: encoded changes, 8 MiB at most, and of the configuration only the highest version, as no host takes a lower one; a full log drops whole positions, so that no reader gets a gap. The same bound in bytes for answers of store, relays, host list and gateway, for queued log lines, and in number for counters and histograms.

--- a/wigeongw/adapters/batch_codec.py
+++ b/wigeongw/adapters/batch_codec.py
@@ -14,18 +14,17 @@
 from wigeongw.ports.catalog import StorePosition
 from wigeongw.ports.catalog import UNKNOWN_ERA
 
-# A change as change_codec encodes it.
-EncodedChange = dict[str, Any]
-
 
 def encode(batch: ChangeBatch) -> bytes:
     """Return a batch as JSON."""
-    return encode_parts(
-        batch, [change_codec.encode(change) for change in batch.changes]
-    )
+    changes = [
+        change_codec.dumps(change_codec.encode(change))
+        for change in batch.changes
+    ]
+    return encode_parts(batch, changes)
 
 
-def encode_parts(batch: ChangeBatch, changes: list[EncodedChange]) -> bytes:
+def encode_parts(batch: ChangeBatch, changes: list[bytes]) -> bytes:
     """Return a batch as JSON, with changes that were encoded before.
 
     Args:
@@ -36,7 +35,6 @@
         "age_ms": batch.age_ms,
         "era": batch.position.era,
         "position": batch.position.revision,
-        "changes": changes,
     }
     if batch.is_full:
         document["full"] = True
@@ -49,7 +47,8 @@
         ]
         if math.isfinite(batch.era_age_ms):
             document["era_age_ms"] = batch.era_age_ms
-    return change_codec.dumps(document)
+    fields = change_codec.dumps(document).removesuffix(b"}")
+    return fields + b', "changes": [' + b", ".join(changes) + b"]}"
 
 
 def decode(raw: bytes) -> ChangeBatch:
--- a/wigeongw/adapters/etcd_store.py
+++ b/wigeongw/adapters/etcd_store.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 
+from wigeongw.adapters.bounded_read import read_body
 from wigeongw.core.clock import MS_PER_S
 from wigeongw.core.clock import seconds
 from wigeongw.core.json_text import JsonTextError
@@ -24,6 +25,8 @@
 from wigeongw.ports.store import Snapshot
 
 CALL_TIMEOUT_MS = 1_500.0
+# The whole history of the settings is the longest answer.
+MAX_REPLY_BYTES = 64 << 20
 
 CALL_ERRORS = (
     aiohttp.ClientError,
@@ -152,7 +155,7 @@
             ) as response:
                 if response.status != 200:
                     raise StoreError(f"store: status {response.status}")
-                return parse_object(await response.read())
+                return parse_object(await read_body(response, MAX_REPLY_BYTES))
         except CALL_ERRORS as error:
             raise StoreError(f"store: {error!r}") from error
 
--- a/wigeongw/adapters/host_list.py
+++ b/wigeongw/adapters/host_list.py
@@ -7,11 +7,13 @@
 from pydantic import TypeAdapter
 from pydantic import ValidationError
 
+from wigeongw.adapters.bounded_read import read_body
 from wigeongw.core.clock import seconds
 from wigeongw.core.records import HostListing
 from wigeongw.ports.errors import HostListError
 
 READ_TIMEOUT_MS = 1_500.0
+MAX_LISTING_BYTES = 16 << 20
 HOST_LISTING_ADAPTER = TypeAdapter(HostListing)
 
 
@@ -44,7 +46,7 @@
         timeout = aiohttp.ClientTimeout(total=seconds(READ_TIMEOUT_MS))
         try:
             async with self.session.get(self.url, timeout=timeout) as response:
-                raw = await response.read()
+                raw = await read_body(response, MAX_LISTING_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise HostListError(
                 f"host list: cannot fetch {self.url}: {error!r}"
--- a/wigeongw/core/metrics.py
+++ b/wigeongw/core/metrics.py
@@ -10,7 +10,10 @@
 SIGNIFICANT_DIGITS = 2
 US_PER_MS = 1000.0
 PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
-MAX_HISTOGRAMS = 5_000
+# A histogram takes some 30 kB.
+MAX_HISTOGRAMS = 1_000
+MAX_COUNTERS = 5_000
+DROPPED_SERIES: "Labels" = ("metric_series_dropped",)
 
 Labels = tuple[str, ...]
 
@@ -26,7 +29,14 @@
         self.histograms: dict[Labels, HdrHistogram] = {}
 
     def count(self, *labels: str) -> None:
-        """Increment the counter with these labels by one."""
+        """Increment the counter with these labels by one.
+
+        Once MAX_COUNTERS counters exist, an event with new labels is counted
+        as ``metric_series_dropped`` only.
+        """
+        if labels not in self.counters:
+            if len(self.counters) >= MAX_COUNTERS:
+                labels = DROPPED_SERIES
         self.counters[labels] += 1
 
     def time(self, duration_ms: float, *labels: str) -> None:
@@ -42,7 +52,7 @@
         histogram = self.histograms.get(labels)
         if histogram is None:
             if len(self.histograms) >= MAX_HISTOGRAMS:
-                self.count("metric_series_dropped")
+                self.counters[DROPPED_SERIES] += 1
                 return
             histogram = HdrHistogram(
                 MIN_DURATION_US, MAX_DURATION_US, SIGNIFICANT_DIGITS
--- a/wigeongw/gateway/change_log_test.py
+++ b/wigeongw/gateway/change_log_test.py
@@ -1,6 +1,7 @@
 """Tests that a relay never serves changes with a gap between them."""
 
 import asyncio
+import json
 import unittest
 
 from wigeongw.gateway.change_log import ChangeLog
@@ -23,7 +24,7 @@
     changes = log.changes_since(at(revision))
     if changes is None:
         return None
-    return [str(change["name"]) for change in changes]
+    return [str(json.loads(change)["name"]) for change in changes]
 
 
 class ChangeLogTest(unittest.IsolatedAsyncioTestCase):
--- a/wigeongw/gateway/decision_log.py
+++ b/wigeongw/gateway/decision_log.py
@@ -15,6 +15,7 @@
 
 WRITE_INTERVAL_MS = 200.0
 MAX_QUEUED_LINES = 4_000
+MAX_QUEUED_CHARS = 4 << 20
 MAX_WRITE_BYTES = 65_536
 STDOUT_FD = 1
 # Values may hold what others sent.
@@ -28,6 +29,7 @@
         host: name of the host, part of each line.
         fd: file descriptor of the output.
         lines: queued lines.
+        queued_chars: their length.
         unwritten: rest of a block that was written in part.
         dropped: number of lines lost since the last report of losses.
     """
@@ -37,6 +39,7 @@
         self.host = host
         self.fd = fd
         self.lines: deque[str] = deque()
+        self.queued_chars = 0
         self.unwritten = b""
         self.dropped = 0
 
@@ -48,7 +51,10 @@
             **fields: keys and values in order; fields that are None are
                 omitted.
         """
-        if len(self.lines) >= MAX_QUEUED_LINES:
+        if (
+            len(self.lines) >= MAX_QUEUED_LINES
+            or self.queued_chars >= MAX_QUEUED_CHARS
+        ):
             self.dropped += 1
             return
         tokens = [
@@ -57,7 +63,9 @@
         for name, value in fields.items():
             if value is not None:
                 tokens.append(f"{name}={_format_value(value)}")
-        self.lines.append(" ".join(tokens))
+        line = " ".join(tokens)
+        self.lines.append(line)
+        self.queued_chars += len(line)
 
     async def run(self) -> None:
         """Write queued lines periodically, until cancelled."""
@@ -83,6 +91,7 @@
                 # a log.
                 self.dropped += len(self.lines)
                 self.lines.clear()
+                self.queued_chars = 0
                 self.unwritten = b""
                 return
             self.unwritten = self.unwritten[written:]
@@ -92,6 +101,7 @@
         size = 0
         while self.lines and size < MAX_WRITE_BYTES:
             line = self.lines.popleft()
+            self.queued_chars -= len(line)
             size += len(line) + 1
             block.append(line)
         text = "\n".join(block) + "\n"
--- a/wigeongw/gateway/peer_reader.py
+++ b/wigeongw/gateway/peer_reader.py
@@ -6,9 +6,11 @@
 import aiohttp
 
 from wigeongw.adapters import batch_codec
+from wigeongw.adapters.bounded_read import read_body
 from wigeongw.adapters.change_codec import ChangeCodecError
 from wigeongw.core.clock import seconds
 from wigeongw.core.site import Host
+from wigeongw.gateway.relay import MAX_BATCH_BYTES
 from wigeongw.gateway.relay import STATE_PATH
 from wigeongw.gateway.state import GatewayState
 from wigeongw.ports.catalog import ChangeBatch
@@ -78,7 +80,8 @@
                 ) as response:
                     if response.status != HTTP_OK:
                         return None
-                    return batch_codec.decode(await response.read())
+                    raw = await read_body(response, MAX_BATCH_BYTES)
+                    return batch_codec.decode(raw)
         except (
             aiohttp.ClientError,
             OSError,
--- a/wigeongw/gateway/relay.py
+++ b/wigeongw/gateway/relay.py
@@ -1,7 +1,6 @@
 """Serves this host's view and recent changes to other hosts."""
 
 from dataclasses import dataclass
-from typing import Any
 from urllib.parse import parse_qs
 import zlib
 
@@ -23,6 +22,8 @@
 STATE_PATH = "/state"
 HTTP_GONE = 410
 JSON = "application/json"
+# The longest answer of another host: the whole view, or all kept changes.
+MAX_BATCH_BYTES = 16 << 20
 # Responses of this size or more are compressed: a configuration goes to many
 # hosts over one link at the same time.
 MIN_COMPRESSED_BYTES = 1_000
@@ -146,7 +147,7 @@
         self,
         send: Send,
         position: StorePosition,
-        changes: list[dict[str, Any]],
+        changes: list[bytes],
     ) -> None:
         batch = ChangeBatch((), position, age_ms=self._store_age_ms())
         await _send_body(send, batch_codec.encode_parts(batch, changes))
--- a/wigeongw/gateway/relayed_catalog.py
+++ b/wigeongw/gateway/relayed_catalog.py
@@ -14,6 +14,7 @@
 import aiohttp
 
 from wigeongw.adapters import batch_codec
+from wigeongw.adapters.bounded_read import read_body
 from wigeongw.adapters.change_codec import ChangeCodecError
 from wigeongw.core.clock import seconds
 from wigeongw.core.log_throttle import LogThrottle
@@ -25,6 +26,7 @@
 from wigeongw.gateway.relay import CHANGES_PATH
 from wigeongw.gateway.relay import changes_query
 from wigeongw.gateway.relay import HTTP_GONE
+from wigeongw.gateway.relay import MAX_BATCH_BYTES
 from wigeongw.gateway.relay import RELAY_LONG_POLL_MS
 from wigeongw.gateway.state import GatewayState
 from wigeongw.ports.catalog import Catalog
@@ -317,7 +319,7 @@
                 seconds(poll_ms + RELAY_RESPONSE_MARGIN_MS)
             ):
                 async with self.session.get(url, params=query) as response:
-                    raw = await response.read()
+                    raw = await read_body(response, MAX_BATCH_BYTES)
                     status = response.status
             if status == HTTP_GONE:
                 # Its log begins later. The store can still answer, and the
@@ -348,8 +350,13 @@
 
     def _back_off(self, relay: Host) -> None:
         """Do not ask a host again for a while."""
-        backoff_until = self.state.clock.now() + RELAY_BACKOFF_MS
-        self.backoff_until[relay.name] = backoff_until
+        now = self.state.clock.now()
+        self.backoff_until = {
+            name: until
+            for name, until in self.backoff_until.items()
+            if until > now
+        }
+        self.backoff_until[relay.name] = now + RELAY_BACKOFF_MS
 
     def _record_unused(
         self, relay: Host, batch: ChangeBatch, verdict: RelayAnswer
