The rest of a long body must arrive within the route's timeout

Cause: a request's deadline held until the first MiB of a body had arrived; the rest was streamed without any. wigeongw serve waited without a limit also for a small body that stopped in its middle. Informational responses reset the count of bytes without progress.

Fix: the rest must end within the route's timeout and without a gap of 15 s, else both connections are closed. What has arrived completely is still delivered. A client that reads nothing for the idle timeout is aborted, since closing would wait for it. The request has a log line with the reason.

--- a/wigeongw/adapters/http_server.py
+++ b/wigeongw/adapters/http_server.py
@@ -39,12 +39,15 @@
         received_head_bytes: bytes received since the current head began.
         is_reading_head: whether the head of a request is incomplete.
         head_timer: closes the connection when the head takes too long.
+        write_timer: ends the connection when the client reads nothing of what
+            waits for it.
     """
 
     get_limits: Callable[[], ClientLimits] = ClientLimits
     received_head_bytes = 0
     is_reading_head = True
     head_timer: asyncio.TimerHandle | None = None
+    write_timer: asyncio.TimerHandle | None = None
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
@@ -57,10 +60,25 @@
         self._start_head_timer(limits.head_ms)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the timer of the head."""
+        """Cancel the timers."""
         self._cancel_head_timer()
+        self._cancel_write_timer()
         super().connection_lost(exc)
 
+    def pause_writing(self) -> None:
+        """Start the timer of a client that does not read."""
+        super().pause_writing()
+        self._cancel_write_timer()
+        limits = type(self).get_limits()
+        self.write_timer = self.loop.call_later(
+            seconds(limits.idle_ms), self._on_write_timeout
+        )
+
+    def resume_writing(self) -> None:
+        """Cancel the timer of a client that does not read."""
+        self._cancel_write_timer()
+        super().resume_writing()
+
     def data_received(self, data: bytes) -> None:
         """Parse data and reject a head that exceeds the size limit."""
         super().data_received(data)
@@ -114,6 +132,16 @@
             self.head_timer.cancel()
             self.head_timer = None
 
+    def _cancel_write_timer(self) -> None:
+        if self.write_timer is not None:
+            self.write_timer.cancel()
+            self.write_timer = None
+
+    def _on_write_timeout(self) -> None:
+        self.write_timer = None
+        # Closing would wait until the client reads.
+        self.transport.abort()
+
     def _on_head_timeout(self) -> None:
         self.head_timer = None
         if not self.transport.is_closing():
--- a/wigeongw/adapters/upstream_connection.py
+++ b/wigeongw/adapters/upstream_connection.py
@@ -20,9 +20,9 @@
 # Responses up to this size are buffered before any of it goes to the client,
 # so that a request whose response is truncated can be retried.
 MAX_BUFFERED_BODY_BYTES = 1 << 20
-# Bytes that an upstream may send without completing a head or sending body
-# bytes: a head, framing of chunks, trailers. A faulty upstream may send such
-# bytes without end.
+# Bytes that an upstream may send without completing a final head or sending
+# body bytes: informational responses, a head, framing of chunks, trailers. A
+# faulty upstream may send such bytes without end.
 MAX_BYTES_WITHOUT_PROGRESS = 1 << 16
 # Responses to other requests that an exchange skips before it fails.
 MAX_FOREIGN_RESPONSES = 2
@@ -38,6 +38,9 @@
 MAX_IDLE_TIMEOUT_DIGITS = 6
 
 
+BodyQueue = asyncio.Queue[bytes | None | BodyError]
+
+
 class ExchangeError(Exception):
     """An exchange failed.
 
@@ -70,7 +73,7 @@
     status: int
     headers: list[tuple[bytes, bytes]]
     body: bytes = b""
-    rest: asyncio.Queue[bytes | None | BodyError] | None = None
+    rest: BodyQueue | None = None
     fields: dict[str, str] = field(default_factory=dict)
     answers_request: bool = False
 
@@ -247,10 +250,10 @@
 
     def on_headers_complete(self) -> None:
         """Skip a response to another request; find how the body ends."""
-        self.bytes_without_progress = 0
         status = self.parser.get_status_code()
         if self.is_complete or status < MIN_FINAL_STATUS:
             return
+        self.bytes_without_progress = 0
         fields = {
             n.decode("latin-1"): v.decode("latin-1") for n, v in self.headers
         }
@@ -370,9 +373,7 @@
             self.reply.rest.put_nowait(BodyError(reason))
         self.close()
 
-    def _pause_if_backlogged(
-        self, rest: asyncio.Queue[bytes | None | BodyError]
-    ) -> None:
+    def _pause_if_backlogged(self, rest: BodyQueue) -> None:
         """Pause reading while the client is slower than the upstream."""
         if rest.qsize() > 16 and self.transport is not None:
             self.transport.pause_reading()
--- a/wigeongw/daemon/dispatcher.py
+++ b/wigeongw/daemon/dispatcher.py
@@ -5,6 +5,7 @@
 client unchanged.
 """
 
+import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -12,6 +13,7 @@
 from dataclasses import replace
 
 from wigeongw.core.clock import Clock
+from wigeongw.core.clock import seconds
 from wigeongw.core.metrics import Metrics
 from wigeongw.core.records import Outcome
 from wigeongw.core.records import Upstream
@@ -346,12 +348,16 @@
             return
         if size > MAX_BUFFERED_RESPONSE_BYTES:
             return
+        remaining_ms = max(0.0, request.ends_at - self.clock.now())
         try:
-            chunks = [chunk async for chunk in reply.body()]
-        except BodyError as error:
+            async with asyncio.timeout(seconds(remaining_ms)):
+                chunks = [chunk async for chunk in reply.body()]
+        except (BodyError, TimeoutError) as error:
             await reply.close()
             raise UpstreamError(
-                str(error), Outcome.UNKNOWN, Verdict.FAILED
+                f"answer without its end: {error!r}",
+                Outcome.UNKNOWN,
+                Verdict.FAILED,
             ) from error
         body = b"".join(chunks)
         if len(body) != size:
--- a/wigeongw/daemon/download.py
+++ b/wigeongw/daemon/download.py
@@ -7,8 +7,8 @@
 and start at exactly the requested offset.
 
 The deadline of a request applies to the response head. A body may take longer
-as long as data keeps arriving, except from a cold upstream, which must be free
-again by the deadline.
+as long as data keeps arriving, though not without end, and except from a cold
+upstream, which must be free again by the deadline.
 """
 
 import asyncio
@@ -27,6 +27,8 @@
 
 MAX_RESUMES = 3
 BODY_STALL_TIMEOUT_MS = 10_000.0
+# A body that has not ended by then has no end.
+MAX_BODY_MS = 600_000.0
 STATUS_OK = 200
 STATUS_PARTIAL_CONTENT = 206
 
@@ -103,6 +105,7 @@
         representation: None when the download cannot be resumed.
         timeout_ms: time from the start to the deadline; a resumed request gets
             the same time again.
+        body_ends_at: when the whole body must have arrived, monotonic clock.
         bytes_sent: number of body bytes yielded so far.
         resumes: number of range requests sent so far.
     """
@@ -115,6 +118,7 @@
         self.exchange = exchange
         self.representation = resumable_representation(request, exchange)
         self.timeout_ms = request.ends_at - dispatcher.clock.now()
+        self.body_ends_at = dispatcher.clock.now() + MAX_BODY_MS
         self.bytes_sent = 0
         self.resumes = 0
 
@@ -147,8 +151,13 @@
             return
         body = self.exchange.body()
         while True:
+            wait_ms = self._chunk_timeout_ms()
+            if wait_ms <= 0.0:
+                raise BodyError(
+                    f"upstream {self.exchange.held.upstream}: body without end"
+                )
             try:
-                async with asyncio.timeout(seconds(self._chunk_timeout_ms())):
+                async with asyncio.timeout(seconds(wait_ms)):
                     chunk = await anext(body, None)
             except TimeoutError as error:
                 raise BodyError(
@@ -161,10 +170,11 @@
 
     def _chunk_timeout_ms(self) -> float:
         """Return how long to wait for the next chunk."""
-        if not self.exchange.held.cold:
-            return BODY_STALL_TIMEOUT_MS
-        remaining_ms = self.request.ends_at - self.dispatcher.clock.now()
-        return max(0.0, min(BODY_STALL_TIMEOUT_MS, remaining_ms))
+        ends_at = self.body_ends_at
+        if self.exchange.held.cold:
+            ends_at = min(ends_at, self.request.ends_at)
+        remaining_ms = ends_at - self.dispatcher.clock.now()
+        return min(BODY_STALL_TIMEOUT_MS, remaining_ms)
 
     async def _resume(self) -> bool:
         """Request the rest of the body from an upstream.
--- /dev/null
+++ b/wigeongw/gateway/endless_answer_test.py
@@ -0,0 +1,142 @@
+"""Each wait for a byte of an upstream ends, over real sockets."""
+
+import asyncio
+from dataclasses import dataclass
+import time
+import unittest
+
+import aiohttp
+
+from standins.scripted_upstream import response_bytes
+from wigeongw.adapters.upstream_connection import MAX_BUFFERED_BODY_BYTES
+from wigeongw.gateway.host_case import HostCase
+from wigeongw.gateway.host_case import SIGNATURE_HEADER
+
+TIMEOUT_MS = 1_000.0
+# A final answer may be so much later than the route's timeout.
+SLACK_MS = 500.0
+MS_PER_S = 1_000.0
+HEAD = f"HTTP/1.1 200 OK\r\n{SIGNATURE_HEADER}\r\n".encode()
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+UNFRAMED = HEAD + b"\r\n"
+SIZED = HEAD + b"Content-Length: 1000000000000\r\n\r\n"
+# More than is buffered before the client gets the first byte.
+LONG_START = b"x" * (MAX_BUFFERED_BODY_BYTES + 1)
+PIECE = b"x" * 65_536
+
+
+@dataclass(frozen=True)
+class EndlessAnswer:
+    """An answer that does not end.
+
+    Attributes:
+        start: its first bytes.
+        piece: what follows, again and again; empty for silence.
+        pause_s: pause after each piece.
+    """
+
+    name: str
+    start: bytes
+    piece: bytes
+    pause_s: float = 0.0
+
+
+ANSWERS = (
+    EndlessAnswer("status line", b"HTTP/1.1 200 ", b"O" * 1_000),
+    EndlessAnswer("silence in the head", HEAD, b"", 0.02),
+    EndlessAnswer("headers", HEAD, b"x-a: " + b"y" * 100 + b"\r\n"),
+    EndlessAnswer("slow headers", HEAD, b"x-a: y\r\n", 0.02),
+    EndlessAnswer("informational", b"", b"HTTP/1.1 103 Hints\r\n\r\n"),
+    EndlessAnswer("slow body", SIZED, b"x", 0.02),
+    EndlessAnswer("silence at the start of a body", SIZED, b"", 0.02),
+    EndlessAnswer("body without framing", UNFRAMED, PIECE),
+    EndlessAnswer("body with a length", SIZED, PIECE),
+    EndlessAnswer("chunks", CHUNKED, b"10000\r\n" + PIECE + b"\r\n"),
+    EndlessAnswer("tiny chunks", CHUNKED, b"1\r\nx\r\n" * 1_000),
+    EndlessAnswer("chunk size", CHUNKED, b"0" * 1_000),
+    EndlessAnswer("chunk extension", CHUNKED + b"5;", b"a" * 1_000),
+    EndlessAnswer("trailers", CHUNKED + b"1\r\nx\r\n0\r\n", b"x-t: y\r\n"),
+    EndlessAnswer("silence after 1 MiB", SIZED + LONG_START, b"", 0.02),
+    EndlessAnswer("slow after 1 MiB", SIZED + LONG_START, b"x", 0.02),
+    EndlessAnswer("no framing after 1 MiB", UNFRAMED + LONG_START, b"", 0.02),
+)
+
+
+class EndlessAnswerTest(HostCase):
+    async def test_client_has_an_end_soon_after_the_timeout(self) -> None:
+        """Clients were held past the route's timeout, until they left."""
+        await self.publish_all(TIMEOUT_MS)
+        for number, answer in enumerate(ANSWERS):
+            with self.subTest(answer=answer.name):
+                for upstream in self.upstreams:
+                    upstream.script = [answer.start, b"ENDLESS"]
+                    upstream.endless_piece = answer.piece
+                    upstream.endless_pause_s = answer.pause_s
+                started = [len(u.ran) for u in self.upstreams]
+                closed = [u.closed_by_caller for u in self.upstreams]
+                started_at = time.monotonic()
+                status = await self._fetch(f"id-{number}")
+                took_ms = (time.monotonic() - started_at) * MS_PER_S
+                self.assertIn(status, (0, 502, 504))
+                self.assertLess(took_ms, TIMEOUT_MS + SLACK_MS)
+                await self._wait_until_closed(started, closed)
+
+    async def test_slow_download_within_the_timeout_is_not_cut(self) -> None:
+        await self.publish_all(TIMEOUT_MS)
+        body = LONG_START + b"y" * 300_000
+        answer = response_bytes(200, body, SIGNATURE_HEADER)
+        half = len(answer) - 200_000
+        for upstream in self.upstreams:
+            upstream.script = [
+                answer[:half],
+                *[b"PAUSE"] * 8,
+                answer[half:],
+            ]
+        status, received, _ = await self.send("/fetch/x")
+        self.assertEqual(status, 200)
+        self.assertEqual(received, body)
+
+    async def test_complete_answer_is_delivered_after_the_timeout(
+        self,
+    ) -> None:
+        """A client that reads slowly still gets what has arrived."""
+        await self.publish_all(TIMEOUT_MS)
+        body = LONG_START + b"y" * 300_000
+        for upstream in self.upstreams:
+            upstream.script = [response_bytes(200, body, SIGNATURE_HEADER)]
+        address = self.host.state.host_config.front
+        headers = {"Host": "a.example"}
+        async with self.session.get(
+            f"http://{address}/fetch/x", headers=headers
+        ) as response:
+            received = await response.content.read(1_000)
+            await asyncio.sleep((TIMEOUT_MS + SLACK_MS) / MS_PER_S)
+            received += await response.read()
+        self.assertEqual(len(received), len(body))
+
+    async def _fetch(self, request_id: str) -> int:
+        """Return the status; 0 when the body is visibly cut."""
+        try:
+            status, _, _ = await self.send("/fetch/x", request_id=request_id)
+        except aiohttp.ClientPayloadError:
+            return 0
+        return status
+
+    async def _wait_until_closed(
+        self, started: list[int], closed: list[int]
+    ) -> None:
+        """Wait until the host has closed all connections of the answers."""
+        expected = [
+            ended + len(upstream.ran) - ran
+            for upstream, ran, ended in zip(
+                self.upstreams, started, closed, strict=True
+            )
+        ]
+        await self.until(
+            lambda: [u.closed_by_caller for u in self.upstreams] == expected,
+            1.0,
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wigeongw/gateway/errors.py
+++ b/wigeongw/gateway/errors.py
@@ -44,4 +44,12 @@
 
 
 class ResponseTruncatedError(WigeongwError):
-    """A response broke off after its head was sent to the client."""
+    """A response broke off after its head was sent to the client.
+
+    Attributes:
+        reason: short word for logs and metrics.
+    """
+
+    def __init__(self, reason: str, cause: str) -> None:
+        super().__init__(f"response body cut: {cause}")
+        self.reason = reason
--- a/wigeongw/gateway/host_case.py
+++ b/wigeongw/gateway/host_case.py
@@ -6,6 +6,7 @@
 from contextlib import AsyncExitStack
 import os
 import random
+import select
 import socket
 import unittest
 
@@ -31,6 +32,8 @@
 NAMES = NativeDialect.names
 SIGNATURE_HEADER = f"{NAMES.signature}: proof"
 TIMEOUT_S = 10.0
+# Below the range from which the system takes ports of outgoing connections.
+PORT_RANGE = (12_000, 30_000)
 CLOCK = Clock()
 ROUTE_KINDS = {
     "read": RouteKind.IDEMPOTENT,
@@ -40,10 +43,19 @@
 
 
 def free_port() -> int:
-    """Return a TCP port that was free when it was checked."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Return a TCP port that was free when it was checked.
+
+    The system does not take it for an outgoing connection until a host
+    listens.
+    """
+    while True:
+        port = random.randrange(*PORT_RANGE)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def configuration(
@@ -87,20 +99,24 @@
     Attributes:
         script: response bytes written in order; b"HANG" waits for the test's
             timeout, b"PAUSE" waits 50 ms, b"CLOSE" closes the connection,
-            b"ENDLESS" sends body bytes until the caller closes it, b"DONE"
-            answers with success.
+            b"ENDLESS" sends a piece again and again until the caller closes
+            it, b"DONE" answers with success.
+        endless_piece: the piece; empty to send nothing.
+        endless_pause_s: pause after each piece.
         rate_limits: values of the rate limit header of each answer.
         arrivals: when each request arrived, without probes, monotonic
             milliseconds.
         load: running, waiting, slots and slowdown that it reports.
         cold_ms: remaining warm-up that it reports.
         silent: whether it accepts connections but does not respond.
-        closed_by_caller: number of endless bodies that the caller ended.
+        closed_by_caller: number of endless answers that the caller ended.
     """
 
     def __init__(self, identity: str) -> None:
         self.identity = identity
         self.script: list[bytes] = [b"DONE"]
+        self.endless_piece = b"x" * 65_536
+        self.endless_pause_s = 0.0
         self.rate_limits: tuple[str, ...] = ()
         self.arrivals: list[float] = []
         self.load = "0,0,4,1"
@@ -160,9 +176,10 @@
 
     async def _write_until_closed(self, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(ConnectionError):
-            while not writer.is_closing():
-                writer.write(b"x" * 65_536)
+            while not _is_closed_by_peer(writer):
+                writer.write(self.endless_piece)
                 await writer.drain()
+                await asyncio.sleep(self.endless_pause_s)
         self.closed_by_caller += 1
 
 
@@ -210,9 +227,12 @@
     async def until(
         self, condition: Callable[[], bool], timeout_s: float = TIMEOUT_S
     ) -> None:
-        """Wait until a condition holds."""
+        """Wait until a condition holds; fail if a host ends instead."""
         async with asyncio.timeout(timeout_s):
-            while not condition():  # noqa: ASYNC110
+            while not condition():
+                for task in self.host_tasks:
+                    if task.done() and not task.cancelled():
+                        task.result()
                 await asyncio.sleep(0.01)
 
     async def send(
@@ -277,6 +297,16 @@
         return host
 
 
+def _is_closed_by_peer(writer: asyncio.StreamWriter) -> bool:
+    """Return whether the other side has closed, also without a write."""
+    sock = writer.get_extra_info("socket")
+    if writer.is_closing() or sock.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 async def _stop(task: asyncio.Task[None]) -> None:
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
--- a/wigeongw/gateway/proxy_app.py
+++ b/wigeongw/gateway/proxy_app.py
@@ -7,7 +7,9 @@
 from typing import TypeVar
 
 from wigeongw.adapters.http_server import RAW_TARGET_EXTENSION
+from wigeongw.adapters.upstream_connection import BodyQueue
 from wigeongw.adapters.upstream_connection import BufferedReply
+from wigeongw.adapters.upstream_connection import UpstreamConnection
 from wigeongw.core.clock import MS_PER_S
 from wigeongw.core.clock import seconds
 from wigeongw.core.http_headers import HOP_BY_HOP_HEADERS
@@ -41,6 +43,9 @@
 STOPPING_RETRY_AFTER_MS = 20.0
 # Time for a response to reach its client before this host is killed.
 RESPONSE_DELIVERY_MARGIN_MS = 300.0
+# How long an upstream may send nothing in the middle of a body. The timeout of
+# the route applies as well.
+MAX_BODY_SILENCE_MS = 15_000.0
 CLOSE_HEADER = (b"connection", b"close")
 
 
@@ -181,6 +186,11 @@
         except RequestError as error:
             self._log_request(error.status, error.outcome, error.reason, None)
             await self._send_error(error)
+        except ResponseTruncatedError as error:
+            self._log_request(0, Outcome.RAN, error.reason, None)
+            # The server then closes the connection, so that the client sees
+            # that the body is not complete.
+            raise
         except _ClientDisconnectedError:
             self._log_request(0, Outcome.UNKNOWN, "client_gone", None)
 
@@ -321,7 +331,7 @@
                 await self._until_disconnect(self._stream_body(attempt, reply))
             except OutcomeUnknownError as error:
                 raise ResponseTruncatedError(
-                    "response body cut: the host stops"
+                    "stopping", "the host stops"
                 ) from error
 
     async def _stream_body(
@@ -332,11 +342,7 @@
         is_complete = False
         try:
             while True:
-                chunk = await reply.rest.get()
-                if isinstance(chunk, BodyError):
-                    raise ResponseTruncatedError(
-                        f"response body truncated: {chunk}"
-                    )
+                chunk = await self._next_chunk(attempt.connection, reply.rest)
                 if chunk is None:
                     break
                 if reply.rest.qsize() == 0:
@@ -352,6 +358,37 @@
             else:
                 attempt.connection.close()
 
+    async def _next_chunk(
+        self, connection: UpstreamConnection, rest: BodyQueue
+    ) -> bytes | None:
+        """Return the next part of a long body; None at its end.
+
+        The body must end within the route's timeout, whether its upstream
+        sends bytes without end or none at all. What has arrived completely is
+        delivered also later, since the upstream is not waited for.
+
+        Raises:
+            ResponseTruncatedError: when the rest does not arrive in time or
+                broke off.
+        """
+        assert self.route is not None
+        ends_at = self.arrived_at + self.route.timeout_ms
+        wait_ms = min(ends_at - self.state.clock.now(), MAX_BODY_SILENCE_MS)
+        if connection.is_complete:
+            wait_ms = MAX_BODY_SILENCE_MS
+        if wait_ms <= 0.0:
+            raise ResponseTruncatedError("body_timeout", "no end in time")
+        try:
+            async with asyncio.timeout(seconds(wait_ms)):
+                chunk = await rest.get()
+        except TimeoutError as error:
+            raise ResponseTruncatedError(
+                "body_timeout", f"nothing for {wait_ms:.0f} ms"
+            ) from error
+        if isinstance(chunk, BodyError):
+            raise ResponseTruncatedError("body_broken", str(chunk))
+        return chunk
+
     async def _send_body(self, body: bytes, has_more: bool) -> None:
         await self.send(
             {"type": "http.response.body", "body": body, "more_body": has_more}
