A cut watch is not taken for an absence of the store

Cause: any failed call counted as an absence of the store, after which removals wait for 2.2 s, since entries may only have expired. The store may cut a watch that waits at any time.

Fix: the store was away if nobody is known to have got an answer for half a second (decisions/store_absence.py). A cut watch is repeated once without waiting.

--- a/wigeongw/adapters/memory_catalog.py
+++ b/wigeongw/adapters/memory_catalog.py
@@ -15,9 +15,12 @@
 from wigeongw.ports.catalog import HostGone
 from wigeongw.ports.catalog import Lease
 from wigeongw.ports.catalog import LeaseLostError
+from wigeongw.ports.catalog import StoreConnectionError
 from wigeongw.ports.catalog import StorePosition
 from wigeongw.ports.catalog import ZoneEvacuated
 
+# Watches that wait less are not cut.
+MIN_CUT_WAIT_MS = 5.0
 LONG_AGO = float("-inf")
 
 
@@ -39,6 +42,8 @@
         leases: host names by lease ID.
         era: how often the catalog has come back from a copy.
         down: whether every call fails.
+        cuts_watches: whether watches that wait are cut.
+        cut_count: number of watches that were cut.
         loses_history: whether the next watch raises HistoryLostError.
         calls: number of calls, including failed ones; a watch that returns
             changes or times out counts twice.
@@ -50,6 +55,8 @@
         self.leases: dict[int, str] = {}
         self.era = 1
         self.down = False
+        self.cuts_watches = False
+        self.cut_count = 0
         self.loses_history = False
         self.calls = 0
         self.changed = asyncio.Condition()
@@ -100,6 +107,7 @@
             async with asyncio.timeout(seconds(wait_ms)), self.changed:
                 era = self.era
                 while len(self.history) <= revision and self.era == era:
+                    self._cut_watch(wait_ms)
                     await self.changed.wait()
         except TimeoutError:
             pass
@@ -129,6 +137,17 @@
         if entry is not None and entry.lease == lease.number:
             await self.publish(HostGone(entry.name))
 
+    async def cut_watches(self, enabled: bool) -> None:
+        """Begin or stop to cut the watches that wait."""
+        self.cuts_watches = enabled
+        async with self.changed:
+            self.changed.notify_all()
+
+    def _cut_watch(self, wait_ms: float) -> None:
+        if self.cuts_watches and wait_ms >= MIN_CUT_WAIT_MS:
+            self.cut_count += 1
+            raise StoreConnectionError("connection reset")
+
     def _position(self) -> StorePosition:
         return StorePosition(self.era, len(self.history))
 
--- a/wigeongw/gateway/follower.py
+++ b/wigeongw/gateway/follower.py
@@ -11,6 +11,7 @@
 from wigeongw.decisions.site_view import SiteView
 from wigeongw.gateway.change_log import ChangeLog
 from wigeongw.gateway.peer_reader import PeerReader
+from wigeongw.gateway.relayed_catalog import NO_WAIT_MS
 from wigeongw.gateway.state import GatewayState
 from wigeongw.ports.catalog import Catalog
 from wigeongw.ports.catalog import CatalogError
@@ -40,7 +41,7 @@
 # Time limit for a full read with all its pages.
 FULL_READ_TIMEOUT_MS = 3_000.0
 # Longer than that of a catch-up watch, which does not wait at a relay either.
-UNREACHABLE_WATCH_TIMEOUT_MS = 5.0
+UNREACHABLE_WATCH_TIMEOUT_MS = NO_WAIT_MS
 # Log events of the errors after which everything is read again.
 REREAD_EVENTS: dict[type[CatalogError], str] = {
     HistoryLostError: "history_lost",
@@ -53,8 +54,7 @@
 
     Attributes:
         change_log: receives the changes that other hosts may ask for.
-        unreachable_at: when the store was last known to be unreachable, on the
-            monotonic clock.
+        failed_at: when a call to the store failed last, monotonic clock.
         store_unreachable: whether the last call to the store failed.
         has_read_store: whether the whole store was read and can be watched
             from there.
@@ -74,7 +74,7 @@
         self.pool = pool
         self.change_log = change_log
         self.peer_reader = peer_reader
-        self.unreachable_at = float("-inf")
+        self.failed_at = float("-inf")
         self.store_unreachable = False
         self.has_read_store = False
         self.needs_fresh_read = False
@@ -140,12 +140,17 @@
 
     def record_store_failure(self, cause: str) -> None:
         """Record that a call to the store failed."""
-        self.unreachable_at = self.state.clock.now()
+        self.failed_at = self.state.clock.now()
         if not self.store_unreachable:
             self.store_unreachable = True
             self.state.log.add("store", event="lost", cause=cause)
         self.state.metrics.count("store_failures_total")
 
+    def _store_away_at(self) -> float:
+        """Return the last time at which the store was away."""
+        now = self.state.clock.now()
+        return self.state.store_absence.last_away_at(now)
+
     async def _read_all(self) -> None:
         """Read everything, possibly stale, and then the newer changes."""
         async with asyncio.timeout(seconds(FULL_READ_TIMEOUT_MS)):
@@ -217,11 +222,14 @@
             return
         now = self.state.clock.now()
         before = self.state.view
-        is_reachable = now - batch.age_ms >= self.unreachable_at
+        is_reachable = now - batch.age_ms >= self.failed_at
         if self.store_unreachable and is_reachable:
             self.store_unreachable = False
-            self.unreachable_at = now
-            self.state.log.add("store", event="regained")
+            self.state.log.add(
+                "store",
+                event="regained",
+                was_away=int(self._store_away_at() >= self.failed_at),
+            )
             self.state.announce_store_return()
         if batch.is_full:
             self._merge(batch)
@@ -248,7 +256,7 @@
     def _apply_changes(self, batch: ChangeBatch) -> None:
         now = self.state.clock.now()
         view = site_view.apply_changes(
-            self.state.view, batch.changes, now, self.unreachable_at
+            self.state.view, batch.changes, now, self._store_away_at()
         )
         position = max(view.position, batch.position)
         self._install_view(
@@ -260,7 +268,7 @@
         now = self.state.clock.now()
         before = self.state.view
         view = store_return.merge_full_batch(
-            before, batch, now, self.unreachable_at
+            before, batch, now, self._store_away_at()
         )
         is_first = before.position == NOTHING_READ
         if batch.position.era > before.position.era and not is_first:
--- a/wigeongw/gateway/relayed_catalog.py
+++ b/wigeongw/gateway/relayed_catalog.py
@@ -20,6 +20,7 @@
 from wigeongw.core.log_throttle import LogThrottle
 from wigeongw.core.site import Host
 from wigeongw.decisions import relay_selection
+from wigeongw.decisions import store_absence
 from wigeongw.decisions import store_return
 from wigeongw.decisions.relay_selection import RelayPlan
 from wigeongw.decisions.store_return import RelayAnswer
@@ -35,6 +36,8 @@
 from wigeongw.ports.catalog import EraChangedError
 from wigeongw.ports.catalog import HistoryLostError
 from wigeongw.ports.catalog import Lease
+from wigeongw.ports.catalog import LeaseLostError
+from wigeongw.ports.catalog import StoreConnectionError
 from wigeongw.ports.catalog import StorePosition
 
 T = TypeVar("T")
@@ -55,6 +58,9 @@
 # A watch that waits no longer than this only catches up with changes that
 # were already made.
 CATCH_UP_WATCH_MS = 1.0
+# A watch that waits no longer than this is not among those that the store may
+# cut.
+NO_WAIT_MS = 1.5
 # How long a relay that failed is not asked again.
 RELAY_BACKOFF_MS = 2_000.0
 # While the relay answers and cannot reach the store either, this host asks
@@ -164,22 +170,44 @@
     async def _timed(self, operation: str, call: Awaitable[T]) -> T:
         """Await a store call and record its duration and outcome.
 
+        A call that is cancelled was not answered since it was made.
+
         Args:
             operation: label of the call in the metrics.
             call: the call.
         """
         started_at = self.state.clock.now()
         outcome = "failed"
+        failing_since = started_at
         try:
             result = await call
             outcome = "answered"
             return result
+        except (HistoryLostError, LeaseLostError, EraChangedError):
+            outcome = "answered"
+            raise
+        except CatalogError:
+            failing_since = self.state.clock.now()
+            raise
         finally:
             elapsed_ms = self.state.clock.now() - started_at
+            if outcome == "answered":
+                self._record_answer(0.0)
+            else:
+                self.state.store_absence = store_absence.record_failure(
+                    self.state.store_absence, failing_since
+                )
             metrics = self.state.metrics
             metrics.count("store_calls_total", operation, outcome)
             metrics.time(elapsed_ms, "store_call_ms", operation, outcome)
 
+    def _record_answer(self, age_ms: float) -> None:
+        """Record that the store answered so long ago."""
+        answered_at = self.state.clock.now() - age_ms
+        self.state.store_absence = store_absence.record_answer(
+            self.state.store_absence, answered_at
+        )
+
     def _delay_next_store_call(self) -> None:
         jitter = 0.5 + self.state.rng.random()
         self.store_retry_at = (
@@ -236,6 +264,21 @@
 
     async def _watch_store(
         self, position: StorePosition, wait_ms: float
+    ) -> ChangeBatch:
+        """Watch the store, without waiting once more if the watch is cut.
+
+        The store may cut a watch that waits, and answer at once afterwards.
+        """
+        try:
+            return await self._watch_store_once(position, wait_ms)
+        except StoreConnectionError:
+            if wait_ms <= NO_WAIT_MS:
+                raise
+            self.state.metrics.count("store_watches_cut_total")
+            return await self._watch_store_once(position, NO_WAIT_MS)
+
+    async def _watch_store_once(
+        self, position: StorePosition, wait_ms: float
     ) -> ChangeBatch:
         limit_ms = wait_ms + STORE_WATCH_MARGIN_MS
         try:
@@ -346,6 +389,7 @@
             )
             return None
         self.state.learn_era(batch.position.era)
+        self._record_answer(batch.age_ms)
         return batch
 
     def _back_off(self, relay: Host) -> None:
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -25,6 +25,7 @@
 from wigeongw.decisions.routing import RouteIndex
 from wigeongw.decisions.routing import Split
 from wigeongw.decisions.site_view import SiteView
+from wigeongw.decisions.store_absence import StoreAbsence
 from wigeongw.gateway.decision_log import DecisionLog
 from wigeongw.gateway.grantor_directory import GrantorDirectory
 from wigeongw.gateway.limit_shares import LimitShares
@@ -54,6 +55,7 @@
         grantor_directory: the hosts that grant requests to upstreams with a
             rate limit.
         stopping: whether a graceful stop has begun.
+        store_absence: when the store was away.
         store_answered_at: when the store last answered this host, or the
             host that this one asks for others, monotonic clock.
         relay_plan: who asks whom for changes, by the hosts of the view.
@@ -90,6 +92,7 @@
         self.typical_timeouts: dict[str, TypicalTimeout] = {}
         self.shares = LimitShares(host_config, clock, rng)
         self.stopping = False
+        self.store_absence = StoreAbsence()
         self.store_answered_at = float("-inf")
         self.store_era = UNKNOWN_ERA
         self.relay_plan = relay_selection.make_plan(())
--- a/wigeongw/ports/catalog.py
+++ b/wigeongw/ports/catalog.py
@@ -29,6 +29,10 @@
         self.era = era
 
 
+class StoreConnectionError(CatalogError):
+    """The connection to the store broke, or none could be opened."""
+
+
 class HistoryLostError(CatalogError):
     """The store has no history from the requested revision on."""
 
