Reading from an upstream resumes at the end of a body

What callers saw: after a download over 1 MiB the next request on that connection ran, and its client got 504.

Cause: reading stayed paused when the pause came with the last bytes, as the end of the body was still queued when the client took the last piece.

Fix: the body's stream owns the pause and ends it with the body.

Evidence: test_answer_after_a_long_body_is_not_read failed before with a timeout and passes now.

--- a/wigeongw/adapters/upstream_connection.py
+++ b/wigeongw/adapters/upstream_connection.py
@@ -15,6 +15,7 @@
 
 import httptools
 
+from wigeongw.adapters.body_stream import BodyStream
 from wigeongw.ports.errors import BodyError
 
 # Responses up to this size are buffered before any of it goes to the client,
@@ -38,9 +39,6 @@
 MAX_IDLE_TIMEOUT_DIGITS = 6
 
 
-BodyQueue = asyncio.Queue[bytes | None | BodyError]
-
-
 class ExchangeError(Exception):
     """An exchange failed.
 
@@ -62,8 +60,7 @@
     Attributes:
         headers: headers in order, names in lower case.
         body: the whole body, or its first bytes if ``rest`` is set.
-        rest: queue of the further chunks of a long body, followed by None at
-            its end or by an error if it was truncated.
+        rest: the further bytes of a long body; None if there are none.
         fields: headers by name in lower case.
         answers_request: whether it is certain that this answers the request:
             it echoes the request's ID, or nothing was sent before on the
@@ -73,7 +70,7 @@
     status: int
     headers: list[tuple[bytes, bytes]]
     body: bytes = b""
-    rest: BodyQueue | None = None
+    rest: BodyStream | None = None
     fields: dict[str, str] = field(default_factory=dict)
     answers_request: bool = False
 
@@ -294,13 +291,14 @@
         if self.is_skipping or self.is_complete or self.reply is None:
             return
         if self.reply.rest is not None:
-            self.reply.rest.put_nowait(data)
-            self._pause_if_backlogged(self.reply.rest)
+            self.reply.rest.feed(data)
             return
         self.body_chunks.append(data)
         self.body_size += len(data)
         if self.body_size > MAX_BUFFERED_BODY_BYTES:
-            self.reply.rest = asyncio.Queue()
+            self.reply.rest = BodyStream(
+                self._pause_reading, self._resume_reading
+            )
             self._deliver(self.reply)
 
     def on_message_complete(self) -> None:
@@ -355,7 +353,7 @@
         self.is_complete = True
         reply = self.reply
         if reply.rest is not None:
-            reply.rest.put_nowait(None)
+            reply.rest.finish()
         else:
             self._deliver(reply)
 
@@ -370,15 +368,13 @@
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_exception(ExchangeError(reason, self.sent))
         elif self.reply and self.reply.rest and not self.is_complete:
-            self.reply.rest.put_nowait(BodyError(reason))
+            self.reply.rest.finish(BodyError(reason))
         self.close()
 
-    def _pause_if_backlogged(self, rest: BodyQueue) -> None:
-        """Pause reading while the client is slower than the upstream."""
-        if rest.qsize() > 16 and self.transport is not None:
+    def _pause_reading(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
             self.transport.pause_reading()
 
-    def resume_reading(self) -> None:
-        """Resume reading after the client received the queued chunks."""
+    def _resume_reading(self) -> None:
         if self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
--- a/wigeongw/adapters/upstream_connection_test.py
+++ b/wigeongw/adapters/upstream_connection_test.py
@@ -369,6 +369,33 @@
                         )
                 self.assertFalse(connection.is_open)
 
+    async def test_answer_after_a_long_body_is_not_read(self) -> None:
+        """Reading stayed paused when the pause came with the body's end."""
+        body = b"400\r\n" + b"x" * 1_024 + b"\r\n"
+        framing = "Transfer-Encoding: chunked"
+        head = response_bytes(200, b"", f"{ID_HEADER}: 1", framing, length=-1)
+        # The last chunks and the end arrive together, after those that fill
+        # the buffer.
+        self.scripts = [
+            [head + body * 1_025, b"PAUSE", body * 60 + b"0\r\n\r\n"],
+            [response_bytes(200, b"two", f"{ID_HEADER}: 2")],
+        ]
+        connection = await self.pool.acquire(self.target)
+        async with asyncio.timeout(EXCHANGE_TIMEOUT_S):
+            reply = await connection.exchange(
+                b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", b"", "1", False
+            )
+            await asyncio.sleep(0.2)
+            assert reply.rest is not None
+            size = len(reply.body)
+            while chunk := await reply.rest.get():
+                size += len(chunk)
+        self.assertEqual(size, 1_085 * 1_024)
+        self.pool.release(self.target, connection)
+        _, second, used = await self.exchange("2")
+        self.assertEqual(second, b"two")
+        self.assertIs(used, connection)
+
     async def test_refused_connection_sends_nothing(self) -> None:
         self.target = Target("a", "s", "127.0.0.1:1", "amman", 4)
         with self.assertRaises(ExchangeError) as caught:
--- a/wigeongw/gateway/proxy_app.py
+++ b/wigeongw/gateway/proxy_app.py
@@ -6,8 +6,8 @@
 from typing import Any
 from typing import TypeVar
 
+from wigeongw.adapters.body_stream import BodyStream
 from wigeongw.adapters.http_server import RAW_TARGET_EXTENSION
-from wigeongw.adapters.upstream_connection import BodyQueue
 from wigeongw.adapters.upstream_connection import BufferedReply
 from wigeongw.adapters.upstream_connection import UpstreamConnection
 from wigeongw.core.clock import MS_PER_S
@@ -345,8 +345,6 @@
                 chunk = await self._next_chunk(attempt.connection, reply.rest)
                 if chunk is None:
                     break
-                if reply.rest.qsize() == 0:
-                    attempt.connection.resume_reading()
                 await self._send_body(chunk, True)
             is_complete = True
             await self._send_body(b"", False)
@@ -359,7 +357,7 @@
                 attempt.connection.close()
 
     async def _next_chunk(
-        self, connection: UpstreamConnection, rest: BodyQueue
+        self, connection: UpstreamConnection, rest: BodyStream
     ) -> bytes | None:
         """Return the next part of a long body; None at its end.
 
@@ -380,14 +378,13 @@
             raise ResponseTruncatedError("body_timeout", "no end in time")
         try:
             async with asyncio.timeout(seconds(wait_ms)):
-                chunk = await rest.get()
+                return await rest.get()
+        except BodyError as error:
+            raise ResponseTruncatedError("body_broken", str(error)) from error
         except TimeoutError as error:
             raise ResponseTruncatedError(
                 "body_timeout", f"nothing for {wait_ms:.0f} ms"
             ) from error
-        if isinstance(chunk, BodyError):
-            raise ResponseTruncatedError("body_broken", str(chunk))
-        return chunk
 
     async def _send_body(self, body: bytes, has_more: bool) -> None:
         await self.send(
