A late timer does not fail the request that reports its send

What callers saw: 500 of the host's own, now and then under load.

Cause: uvloop's call_at returns a plain handle when the time has passed, which has no when(); _schedule_flush asked it inside report_send and report_response.

Fix: the time of the flush is kept beside its handle.

Evidence: the new test failed before with the AttributeError of the trace.

--- a/wigeongw/gateway/observation_exchange.py
+++ b/wigeongw/gateway/observation_exchange.py
@@ -60,6 +60,7 @@
         pending_sends: upstream hash and time of requests to report.
         pending_silent: start of unanswered probes by upstream hash.
         flush_timer: the scheduled flush; None when nothing is pending.
+        flush_at: when it is due, on the clock of the event loop.
         flush_count: number of flushes so far.
     """
 
@@ -75,7 +76,8 @@
         self.pending_remote_samples: dict[str, TargetState] = {}
         self.pending_sends: list[tuple[int, float]] = []
         self.pending_silent: dict[int, float] = {}
-        self.flush_timer: asyncio.TimerHandle | None = None
+        self.flush_timer: asyncio.Handle | None = None
+        self.flush_at = 0.0
         self.flush_count = 0
 
     def close(self) -> None:
@@ -141,9 +143,10 @@
         loop = asyncio.get_running_loop()
         flush_at = loop.time() + seconds(max_delay_ms)
         if self.flush_timer is not None:
-            if self.flush_timer.when() <= flush_at:
+            if self.flush_at <= flush_at:
                 return
             self.flush_timer.cancel()
+        self.flush_at = flush_at
         self.flush_timer = loop.call_at(flush_at, self._flush)
 
     def _apply(self, observations: Observations) -> None:
--- a/wigeongw/gateway/observation_exchange_test.py
+++ b/wigeongw/gateway/observation_exchange_test.py
@@ -1,10 +1,12 @@
 """Tests of the exchange of observations between hosts."""
 
 import asyncio
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 import os
 import random
 import unittest
+import unittest.mock
 
 from wigeongw.adapters import observation_codec
 from wigeongw.adapters.observation_codec import Observations
@@ -75,6 +77,23 @@
         sample = self.states[name].targets["i-1"].sample
         return sample.running if sample else None
 
+    async def test_report_after_a_late_timer_fails_its_request(self) -> None:
+        """The client got 500: a loop may return a handle without a time."""
+        exchange = self.exchanges["a"]
+        target = self.states["a"].targets["i-1"]
+        loop = asyncio.get_running_loop()
+
+        def call_late(
+            when: float, callback: Callable[..., object], *args: object
+        ) -> asyncio.Handle:
+            return loop.call_soon(callback, *args)
+
+        with unittest.mock.patch.object(loop, "call_at", call_late):
+            for _ in range(2):
+                exchange.report_silent(target, 0.0)
+                exchange.report_probe(target)
+        self.assertIsNotNone(exchange.flush_timer)
+
     async def test_silent_upstream_is_reported_to_all_hosts(self) -> None:
         for name in ZONES:
             self.probe(name, 1)
