Uploads are admitted by their bytes

Cause: three copies of each body, and no bound on the bytes of all.

Fix: decisions/memory_shares.py divides the memory that the platform names. What does not fit is refused at once as not run, and its body discarded; small requests go on. Responses are buffered less the more there are.

--- a/wigeongw/adapters/body_stream.py
+++ b/wigeongw/adapters/body_stream.py
@@ -5,9 +5,6 @@
 
 from wigeongw.ports.errors import BodyError
 
-# When more waits than this, reading from the upstream pauses.
-MAX_WAITING_BYTES = 256 << 10
-
 
 class BodyStream:
     """The part of a body that has not been passed on yet.
@@ -15,6 +12,7 @@
     What arrives in many small pieces is passed on in one.
 
     Attributes:
+        max_waiting: reading pauses when more bytes than these wait.
         waiting: bytes that wait for the reader.
         has_ended: whether the last byte has arrived, or none will.
         error: why the body broke off; None if it did not.
@@ -23,8 +21,12 @@
     """
 
     def __init__(
-        self, pause: Callable[[], None], resume: Callable[[], None]
+        self,
+        max_waiting: int,
+        pause: Callable[[], None],
+        resume: Callable[[], None],
     ) -> None:
+        self.max_waiting = max_waiting
         self.pause = pause
         self.resume = resume
         self.waiting = bytearray()
@@ -37,7 +39,7 @@
         """Add bytes; pause reading when too many wait."""
         self.waiting += data
         self.changed.set()
-        if len(self.waiting) > MAX_WAITING_BYTES and not self.is_paused:
+        if len(self.waiting) > self.max_waiting and not self.is_paused:
             self.is_paused = True
             self.pause()
 
--- a/wigeongw/adapters/body_stream_test.py
+++ b/wigeongw/adapters/body_stream_test.py
@@ -4,16 +4,17 @@
 import unittest
 
 from wigeongw.adapters.body_stream import BodyStream
-from wigeongw.adapters.body_stream import MAX_WAITING_BYTES
 from wigeongw.ports.errors import BodyError
 
-TOO_MUCH = b"x" * (MAX_WAITING_BYTES + 1)
+MAX_WAITING = 10_000
+TOO_MUCH = b"x" * (MAX_WAITING + 1)
 
 
 class BodyStreamTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.calls: list[str] = []
         self.stream = BodyStream(
+            MAX_WAITING,
             lambda: self.calls.append("pause"),
             lambda: self.calls.append("resume"),
         )
--- a/wigeongw/adapters/upstream_connection.py
+++ b/wigeongw/adapters/upstream_connection.py
@@ -16,11 +16,11 @@
 import httptools
 
 from wigeongw.adapters.body_stream import BodyStream
+from wigeongw.decisions.memory_shares import BufferLimits
 from wigeongw.ports.errors import BodyError
 
-# Responses up to this size are buffered before any of it goes to the client,
-# so that a request whose response is truncated can be retried.
-MAX_BUFFERED_BODY_BYTES = 1 << 20
+# Request bodies up to this size are sent together with their head.
+MAX_JOINED_BODY_BYTES = 16 << 10
 # Bytes that an upstream may send without completing a final head or sending
 # body bytes: informational responses, a head, framing of chunks, trailers. A
 # faulty upstream may send such bytes without end.
@@ -94,6 +94,9 @@
             closes the connection.
         idle_timeout_ms: how long the connection may stay idle.
         idle_since: monotonic time in milliseconds, set by the pool.
+        limits: how much of a response it holds, set by the pool. What fits
+            is buffered before any of it goes to the client, so that a request
+            whose response is truncated can be retried.
     """
 
     def __init__(self, request_id_header: str) -> None:
@@ -112,6 +115,7 @@
         self.foreign_responses = 0
         self.idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS
         self.idle_since = 0.0
+        self.limits = BufferLimits()
         self.headers: list[tuple[bytes, bytes]] = []
         self.body_chunks: list[bytes] = []
         self.body_size = 0
@@ -188,7 +192,11 @@
         return bool(poll.poll(0))
 
     async def exchange(
-        self, head: bytes, body: bytes, request_id: str, head_only: bool
+        self,
+        head: bytes,
+        body: bytes | bytearray,
+        request_id: str,
+        head_only: bool,
     ) -> BufferedReply:
         """Send a request and wait for its response.
 
@@ -215,7 +223,11 @@
         self.parser = httptools.HttpResponseParser(self)
         self.waiter = asyncio.get_running_loop().create_future()
         self.sent = True
-        self.transport.write(head + body if body else head)
+        if len(body) <= MAX_JOINED_BODY_BYTES:
+            self.transport.write(head + body)
+        else:
+            self.transport.write(head)
+            self.transport.write(body)
         try:
             return await self.waiter
         except asyncio.CancelledError:
@@ -295,9 +307,9 @@
             return
         self.body_chunks.append(data)
         self.body_size += len(data)
-        if self.body_size > MAX_BUFFERED_BODY_BYTES:
+        if self.body_size > self.limits.buffered:
             self.reply.rest = BodyStream(
-                self._pause_reading, self._resume_reading
+                self.limits.waiting, self._pause_reading, self._resume_reading
             )
             self._deliver(self.reply)
 
--- a/wigeongw/adapters/upstream_pool.py
+++ b/wigeongw/adapters/upstream_pool.py
@@ -1,6 +1,7 @@
 """Connection pool for upstreams; the last used connection is reused first."""
 
 import asyncio
+from collections.abc import Callable
 
 from wigeongw.adapters.upstream_connection import ExchangeError
 from wigeongw.adapters.upstream_connection import UpstreamConnection
@@ -8,6 +9,7 @@
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
 from wigeongw.core.site import Target
+from wigeongw.decisions.memory_shares import BufferLimits
 
 CONNECT_TIMEOUT_MS = 250.0
 IDLE_CHECK_INTERVAL_MS = 1_000.0
@@ -17,10 +19,17 @@
     """Idle connections to upstreams; the owner closes the pool.
 
     Attributes:
+        limits: returns how much of one response may be held now.
         idle: idle connections by the upstream's identity, last used last.
     """
 
-    def __init__(self, clock: Clock, request_id_header: str) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        request_id_header: str,
+        limits: Callable[[], BufferLimits] = BufferLimits,
+    ) -> None:
+        self.limits = limits
         self.clock = clock
         self.request_id_header = request_id_header
         self.idle: dict[str, list[UpstreamConnection]] = {}
@@ -31,6 +40,11 @@
         Raises:
             ExchangeError: if no connection can be opened; nothing was sent.
         """
+        connection = await self._idle_or_new(target)
+        connection.limits = self.limits()
+        return connection
+
+    async def _idle_or_new(self, target: Target) -> UpstreamConnection:
         idle = self.idle.get(target.identity, [])
         now = self.clock.now()
         while idle:
--- a/wigeongw/core/site.py
+++ b/wigeongw/core/site.py
@@ -216,6 +216,10 @@
     max_lookup_ttl_ms: float = 5_000.0
 
 
+# Used when the platform names no limit.
+DEFAULT_MEMORY_BYTES = 300 << 20
+
+
 @dataclass(frozen=True, slots=True)
 class HostConfig:
     """Name, availability zone, listening addresses and limits of a host.
@@ -231,6 +235,7 @@
         seeds: contact addresses of a few other hosts, some of which may be
             down.
         bounds: limits of the site.
+        memory_bytes: memory above which the host is killed.
     """
 
     name: str
@@ -243,3 +248,4 @@
     contact: str = ""
     seeds: tuple[str, ...] = ()
     bounds: SiteLimits = field(default_factory=SiteLimits)
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
--- a/wigeongw/gateway/endless_answer_test.py
+++ b/wigeongw/gateway/endless_answer_test.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from standins.scripted_upstream import response_bytes
-from wigeongw.adapters.upstream_connection import MAX_BUFFERED_BODY_BYTES
+from wigeongw.decisions.memory_shares import MAX_BUFFERED_BYTES
 from wigeongw.gateway.host_case import HostCase
 from wigeongw.gateway.host_case import SIGNATURE_HEADER
 
@@ -21,7 +21,7 @@
 UNFRAMED = HEAD + b"\r\n"
 SIZED = HEAD + b"Content-Length: 1000000000000\r\n\r\n"
 # More than is buffered before the client gets the first byte.
-LONG_START = b"x" * (MAX_BUFFERED_BODY_BYTES + 1)
+LONG_START = b"x" * (MAX_BUFFERED_BYTES + 1)
 PIECE = b"x" * 65_536
 
 
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -19,6 +19,8 @@
 from wigeongw.core.site import SiteLimits
 from wigeongw.core.task_supervisor import TaskFunction
 from wigeongw.core.task_supervisor import TaskSupervisor
+from wigeongw.decisions import memory_shares
+from wigeongw.decisions.memory_shares import BufferLimits
 from wigeongw.gateway.asgi import MetricsApp
 from wigeongw.gateway.asgi import PortRouter
 from wigeongw.gateway.borrower import Borrower
@@ -83,7 +85,9 @@
         self.log = DecisionLog(clock, host_config.name)
         self.state = GatewayState(host_config, clock, rng, self.log, Metrics())
         self.dialect = dependencies.dialect
-        self.pool = UpstreamPool(clock, self.dialect.names.request_id)
+        self.pool = UpstreamPool(
+            clock, self.dialect.names.request_id, self._response_limits
+        )
         self.peer_socket = PeerSocket(self.state.metrics)
         self.observations = ObservationExchange(self.state, self.peer_socket)
         limit_reader = RateLimitReader(self.state, self.dialect.names)
@@ -123,6 +127,11 @@
         )
         self.stop_requested = asyncio.Event()
 
+    def _response_limits(self) -> BufferLimits:
+        return memory_shares.response_limits(
+            self.state.host_config.memory_bytes, self.proxy_app.in_progress
+        )
+
     def request_stop(self) -> None:
         """Begin a graceful stop; further calls have no effect."""
         self.stop_requested.set()
--- a/wigeongw/gateway/proxy_app.py
+++ b/wigeongw/gateway/proxy_app.py
@@ -16,6 +16,7 @@
 from wigeongw.core.records import Outcome
 from wigeongw.core.site import ClientLimits
 from wigeongw.core.site import Route
+from wigeongw.decisions import memory_shares
 from wigeongw.decisions import queue_order
 from wigeongw.decisions.routing import find_route
 from wigeongw.gateway.asgi import Receive
@@ -41,6 +42,11 @@
 DEFAULT_DEADLINE_MS = 5_000.0
 NO_CONFIGURATION_RETRY_AFTER_MS = 200.0
 STOPPING_RETRY_AFTER_MS = 20.0
+# An upload that holds the memory ends within its client's deadline.
+MEMORY_RETRY_AFTER_MS = 1_000.0
+# How long the body of a refused request is discarded, so that its client reads
+# the refusal instead of a reset.
+DISCARD_TIMEOUT_MS = 2_000.0
 # Time for a response to reach its client before this host is killed.
 RESPONSE_DELIVERY_MARGIN_MS = 300.0
 # How long an upstream may send nothing in the middle of a body. The timeout of
@@ -58,6 +64,7 @@
 
     Attributes:
         in_progress: number of requests being processed.
+        held_bytes: bytes of the request bodies that this host holds.
         no_requests: set while no request is in progress.
         drain_deadline: during a graceful stop, when the last response must be
             complete, on the monotonic clock; None before.
@@ -71,6 +78,7 @@
         self.forwarder = forwarder
         self.dialect = dialect
         self.in_progress = 0
+        self.held_bytes = 0
         self.no_requests = asyncio.Event()
         self.no_requests.set()
         self.drain_deadline: float | None = None
@@ -133,6 +141,20 @@
         configuration = self.state.view.configuration
         return configuration.limits if configuration else ClientLimits()
 
+    def hold(self, size: int) -> None:
+        """Take so many bytes of a request body into memory.
+
+        Raises:
+            RequestError: when they do not fit; the request has not run.
+        """
+        memory = self.state.host_config.memory_bytes
+        if not memory_shares.may_admit(size, self.held_bytes, memory):
+            self.state.metrics.count("uploads_refused_total")
+            raise RequestError(
+                503, "memory", retry_after_ms=MEMORY_RETRY_AFTER_MS
+            )
+        self.held_bytes += size
+
     def check_drain_deadline(self, ends_at: float) -> None:
         """Refuse a request that might not end before this host stops.
 
@@ -158,6 +180,8 @@
         arrived_at: when the request's head was read, monotonic clock.
         request_id: ID that the client sent; ``-`` when it sent none.
         client_deadline_ms: deadline that the client sent, if any.
+        held_bytes: bytes of the request body that are held.
+        has_unread_body: whether a part of the request body was not read.
     """
 
     def __init__(
@@ -174,9 +198,17 @@
         self.service = ""
         self.client_deadline_ms: float | None = None
         self.started = False
+        self.held_bytes = 0
+        self.has_unread_body = False
 
     async def run(self) -> None:
         """Process the request and log its outcome."""
+        try:
+            await self._process()
+        finally:
+            self.app.held_bytes -= self.held_bytes
+
+    async def _process(self) -> None:
         try:
             attempt = await self._receive_and_forward()
             await self._send_response(attempt)
@@ -278,12 +310,26 @@
         while (await self.receive())["type"] != "http.disconnect":
             pass
 
-    async def _read_body(self, head: RequestHead, deadline_at: float) -> bytes:
+    def _hold(self, size: int) -> None:
+        """Hold further bytes of the body, until the request has ended."""
+        if size > 0:
+            self.app.hold(size)
+            self.held_bytes += size
+
+    async def _read_body(
+        self, head: RequestHead, deadline_at: float
+    ) -> bytes | bytearray:
+        """Read the request body into memory.
+
+        Raises:
+            RequestError: when it is too large, too slow, or does not fit.
+        """
         if head.length == 0:
             return b""
+        self.has_unread_body = True
         max_bytes = self.app.limits().body_bytes
-        chunks: list[bytes] = []
-        size = 0
+        self._hold(head.length or 0)
+        body = bytearray()
         remaining_ms = deadline_at - self.state.clock.now()
         try:
             async with asyncio.timeout(seconds(max(0.0, remaining_ms))):
@@ -291,13 +337,13 @@
                     message = await self.receive()
                     if message["type"] == "http.disconnect":
                         raise _ClientDisconnectedError
-                    chunk = message.get("body", b"")
-                    size += len(chunk)
-                    if size > max_bytes:
+                    body += message.get("body", b"")
+                    if len(body) > max_bytes:
                         raise RequestError(413, "body_too_large")
-                    chunks.append(chunk)
+                    self._hold(len(body) - self.held_bytes)
                     if not message.get("more_body", False):
-                        return b"".join(chunks)
+                        self.has_unread_body = False
+                        return body
         except TimeoutError as error:
             raise RequestError(408, "body_too_slow") from error
 
@@ -428,7 +474,11 @@
         if error.retry_after_ms:
             retry_after_s = error.retry_after_ms / MS_PER_S
             headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
-        if self.state.stopping or error.status in (400, 408, 413):
+        if (
+            self.state.stopping
+            or self.has_unread_body
+            or error.status in (400, 408, 413)
+        ):
             headers.append(CLOSE_HEADER)
         await self.send(
             {
@@ -437,8 +487,19 @@
                 "headers": headers,
             }
         )
+        if self.has_unread_body and error.status != 408:
+            await self._send_body(body, True)
+            await self._discard_body()
+            body = b""
         await self._send_body(body, False)
 
+    async def _discard_body(self) -> None:
+        """Read the rest of a refused request's body, and keep nothing."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds(DISCARD_TIMEOUT_MS)):
+                while (await self.receive()).get("more_body", False):
+                    pass
+
     def _log_request(
         self,
         status: int,
--- a/wigeongw/gateway/upstream_sender.py
+++ b/wigeongw/gateway/upstream_sender.py
@@ -52,7 +52,7 @@
     method: str
     target: bytes
     headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
+    body: bytes | bytearray
     route: Route
     service: str
     arrived_at: float
