--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -29,6 +29,7 @@
 from wigeongw.gateway.era_catalog import EraCatalog
 from wigeongw.gateway.follower import Follower
 from wigeongw.gateway.forwarder import Forwarder
+from wigeongw.gateway.host_checker import HostChecker
 from wigeongw.gateway.observation_exchange import ObservationExchange
 from wigeongw.gateway.peer_reader import PeerReader
 from wigeongw.gateway.peer_socket import PeerSocket
@@ -110,6 +111,7 @@
         )
         self.borrower = Borrower(self.follower, peer_reader)
         self.registrar = Registrar(self.state, catalog, self.follower)
+        self.host_checker = HostChecker(self.state)
         placer = Placer(self.state, self.prober)
         sender = UpstreamSender(
             self.state,
@@ -179,6 +181,7 @@
             self.borrower.run,
             self.registrar.run,
             self.pool.run,
+            self.host_checker.run,
         ]
 
     def _start_task(
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -8,6 +8,7 @@
 from wigeongw.core.addresses import split_address
 from wigeongw.core.clock import Clock
 from wigeongw.core.metrics import Metrics
+from wigeongw.core.site import Host
 from wigeongw.core.site import HostConfig
 from wigeongw.core.site import RateLimit
 from wigeongw.core.site import Route
@@ -15,6 +16,7 @@
 from wigeongw.core.site import SiteLimits
 from wigeongw.core.site import Target
 from wigeongw.decisions import estimates
+from wigeongw.decisions import host_reachability
 from wigeongw.decisions import placement as placements
 from wigeongw.decisions import relay_selection
 from wigeongw.decisions.estimates import ServiceTimeEstimate
@@ -56,6 +58,8 @@
             rate limit.
         stopping: whether a graceful stop has begun.
         store_absence: when the store was away.
+        hosts_answered: whether other hosts answered, by name, while their
+            entries may be out of date; empty otherwise.
         store_answered_at: when the store last answered this host, or the
             host that this one asks for others, monotonic clock.
         relay_plan: who asks whom for changes, by the hosts of the view.
@@ -93,6 +97,7 @@
         self.shares = LimitShares(host_config, clock, rng)
         self.stopping = False
         self.store_absence = StoreAbsence()
+        self.hosts_answered: dict[str, bool] = {}
         self.store_answered_at = float("-inf")
         self.store_era = UNKNOWN_ERA
         self.relay_plan = relay_selection.make_plan(())
@@ -145,6 +150,10 @@
         self.log.add("store", event="era", before=self.store_era, era=era)
         self.store_era = era
 
+    def nameable_hosts(self) -> list[Host]:
+        """Return the hosts that an address lookup names."""
+        return host_reachability.nameable(self.view.hosts, self.hosts_answered)
+
     def record_lookup(self, address_count: int) -> None:
         """Count an address lookup; log one that cannot be answered."""
         if address_count:
--- a/wigeongw/gateway/task_supervisor_test.py
+++ b/wigeongw/gateway/task_supervisor_test.py
@@ -17,7 +17,7 @@
 class TaskSupervisorTest(HostCase):
     """Each host has the same fault in another one of its tasks."""
 
-    host_count = 6
+    host_count = 7
 
     async def asyncSetUp(self) -> None:
         """Start the hosts; the faults begin when the event is set."""
