--- a/wigeongw/gateway/endless_answer_test.py
+++ b/wigeongw/gateway/endless_answer_test.py
@@ -2,17 +2,24 @@
 
 import asyncio
 from dataclasses import dataclass
+from dataclasses import replace
+import socket
 import time
 import unittest
+import unittest.mock
 
 import aiohttp
 
 from standins.scripted_upstream import response_bytes
+from wigeongw.adapters.http_server import LimitedProtocol
+from wigeongw.core.addresses import split_address
 from wigeongw.decisions.memory_shares import MAX_BUFFERED_BYTES
+from wigeongw.gateway.host_case import configuration
 from wigeongw.gateway.host_case import HostCase
 from wigeongw.gateway.host_case import SIGNATURE_HEADER
 
 TIMEOUT_MS = 1_000.0
+IDLE_MS = 800.0
 # A final answer may be so much later than the route's timeout.
 SLACK_MS = 500.0
 MS_PER_S = 1_000.0
@@ -114,6 +121,35 @@
             received += await response.read()
         self.assertEqual(len(received), len(body))
 
+    async def test_client_that_reads_nothing_is_aborted(self) -> None:
+        """Closing its connection would wait for it, with the bytes kept."""
+        targets = [u.target() for u in self.upstreams]
+        published = configuration(1, timeout_ms=TIMEOUT_MS)
+        limits = replace(published.limits, idle_ms=IDLE_MS)
+        await self.catalog.publish(replace(published, limits=limits), *targets)
+        await self.until(lambda: len(self.host.state.targets) == len(targets))
+        for upstream in self.upstreams:
+            upstream.script = [UNFRAMED, b"ENDLESS"]
+        lost = asyncio.Event()
+        connection_lost = LimitedProtocol.connection_lost
+
+        def record_lost(
+            protocol: LimitedProtocol, error: Exception | None
+        ) -> None:
+            connection_lost(protocol, error)
+            lost.set()
+
+        with unittest.mock.patch.object(
+            LimitedProtocol, "connection_lost", record_lost
+        ):
+            sock = socket.create_connection(
+                split_address(self.host.state.host_config.front)
+            )
+            self.stack.callback(sock.close)
+            sock.sendall(b"GET /fetch/x HTTP/1.1\r\nHost: a.example\r\n\r\n")
+            async with asyncio.timeout((TIMEOUT_MS + 2 * IDLE_MS) / MS_PER_S):
+                await lost.wait()
+
     async def _fetch(self, request_id: str) -> int:
         """Return the status; 0 when the body is visibly cut."""
         try:
