--- a/wigeongw/adapters/load_header.py
+++ b/wigeongw/adapters/load_header.py
@@ -64,6 +64,7 @@
     slowdown = values[MIN_LOAD_VALUES:][:1] or [load_format.usual_slowdown]
     if not _are_plausible(values[:MIN_LOAD_VALUES], slowdown[0], cold_ms):
         return None
+    is_probe = response_kind is ResponseKind.PROBE
     running = int(values[0])
     if (
         load_format.includes_answered_request
@@ -76,7 +77,7 @@
         waiting=int(values[1]),
         slots=int(values[2]),
         slowdown=slowdown[0] / load_format.usual_slowdown,
-        cold_left_ms=cold_ms if response_kind is ResponseKind.PROBE else None,
+        cold_left_ms=max(0.0, cold_ms) if is_probe else None,
         healthy=healthy,
     )
 
@@ -86,7 +87,8 @@
 ) -> bool:
     """Return whether the values of a report may be used for decisions."""
     limits = [(value, MAX_REQUESTS) for value in requests]
-    limits += [(slowdown, MAX_SLOWDOWN), (cold_ms, MAX_COLD_MS)]
+    # An upstream may go on counting its warm-up below zero.
+    limits += [(slowdown, MAX_SLOWDOWN), (abs(cold_ms), MAX_COLD_MS)]
     return all(
         math.isfinite(value) and 0.0 <= value <= highest
         for value, highest in limits
--- a/wigeongw/adapters/load_header_test.py
+++ b/wigeongw/adapters/load_header_test.py
@@ -42,6 +42,7 @@
             ({"load": "3,1,4,500"}, (3, 1, 4, 5.0, 0.0)),
             ({"load": "3,1,4"}, (3, 1, 4, 1.0, 0.0)),
             ({"load": "0,0,4,100", "cold": "900"}, (0, 0, 4, 1.0, 900.0)),
+            ({"load": "0,0,4,100", "cold": "-5"}, (0, 0, 4, 1.0, 0.0)),
         )
         for headers, expected in cases:
             with self.subTest(headers=headers):
