--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -219,7 +219,9 @@
             sock = http_server.bind(f"{ip}:{port}")
             stack.callback(sock.close)
             sockets.append(sock)
-        protocol = http_server.limited_protocol(self.proxy_app.limits)
+        protocol = http_server.limited_protocol(
+            self.proxy_app.admission.limits
+        )
         server = http_server.build(PortRouter(apps), protocol)
         task = asyncio.create_task(server.serve(sockets=sockets))
         stack.push_async_callback(_shut_down, server, task)
@@ -235,12 +237,11 @@
         grace_ms = self.state.bounds.grace_ms
         self.log.add("host", event="stopping", grace_ms=grace_ms)
         self.state.stopping = True
-        self.proxy_app.drain_deadline = (
-            drain_started_at + grace_ms - CLOSE_MARGIN_MS
-        )
+        deadline_at = drain_started_at + grace_ms - CLOSE_MARGIN_MS
+        self.proxy_app.admission.drain_deadline = deadline_at
         withdrawal = asyncio.create_task(self.registrar.withdraw())
         await asyncio.sleep(seconds(grace_ms * DRAIN_ACCEPT_SHARE))
-        await self.proxy_app.wait_until_idle(self.proxy_app.drain_deadline)
+        await self.proxy_app.wait_until_idle(deadline_at)
         server.should_exit = True
         await asyncio.gather(withdrawal, return_exceptions=True)
         self.log.add(
--- /dev/null
+++ b/wigeongw/gateway/request_admission.py
@@ -0,0 +1,92 @@
+"""Decides whether a host takes a client's request, and by which route."""
+
+from wigeongw.core.site import ClientLimits
+from wigeongw.core.site import Route
+from wigeongw.decisions import memory_shares
+from wigeongw.decisions.routing import find_route
+from wigeongw.gateway.errors import RequestError
+from wigeongw.gateway.request_head import RequestHead
+from wigeongw.gateway.state import GatewayState
+
+NO_CONFIGURATION_RETRY_AFTER_MS = 200.0
+STOPPING_RETRY_AFTER_MS = 20.0
+# An upload that holds the memory ends within its client's deadline.
+MEMORY_RETRY_AFTER_MS = 1_000.0
+# Time for a response to reach its client before this host is killed.
+RESPONSE_DELIVERY_MARGIN_MS = 300.0
+
+
+class RequestAdmission:
+    """Checks requests against routes, memory and a graceful stop.
+
+    Attributes:
+        held_bytes: bytes of the request bodies that this host holds.
+        drain_deadline: during a graceful stop, when the last response must be
+            complete, on the monotonic clock; None before.
+    """
+
+    def __init__(self, state: GatewayState) -> None:
+        self.state = state
+        self.held_bytes = 0
+        self.drain_deadline: float | None = None
+
+    def match_route(self, head: RequestHead, path: str) -> Route:
+        """Return the route of a request.
+
+        Args:
+            head: the request's head.
+            path: the request's path without the query.
+
+        Raises:
+            RequestError: when no route matches or there is no configuration.
+        """
+        if self.state.view.configuration is None:
+            raise RequestError(
+                503,
+                "no_configuration",
+                retry_after_ms=NO_CONFIGURATION_RETRY_AFTER_MS,
+            )
+        route = find_route(self.state.route_index, head.host, path)
+        if route is None:
+            raise RequestError(404, "no_route")
+        return route
+
+    def limits(self) -> ClientLimits:
+        """Return the current limits on client requests."""
+        configuration = self.state.view.configuration
+        return configuration.limits if configuration else ClientLimits()
+
+    def hold(self, size: int) -> None:
+        """Take so many bytes of a request body into memory.
+
+        Raises:
+            RequestError: when they do not fit; the request has not run.
+        """
+        memory = self.state.host_config.memory_bytes
+        if not memory_shares.may_admit(size, self.held_bytes, memory):
+            self.state.metrics.count("uploads_refused_total")
+            raise RequestError(
+                503, "memory", retry_after_ms=MEMORY_RETRY_AFTER_MS
+            )
+        self.held_bytes += size
+
+    def release(self, size: int) -> None:
+        """Give back the memory of a request body."""
+        self.held_bytes -= size
+
+    def check_drain_deadline(self, ends_at: float) -> None:
+        """Refuse a request that might not end before this host stops.
+
+        Args:
+            ends_at: when the request ends at the latest, monotonic clock.
+
+        Raises:
+            RequestError: when the host is stopping and will not exist until
+                then; the client should retry at another host.
+        """
+        if self.drain_deadline is None:
+            return
+        if ends_at + RESPONSE_DELIVERY_MARGIN_MS > self.drain_deadline:
+            raise RequestError(
+                503, "stopping", retry_after_ms=STOPPING_RETRY_AFTER_MS
+            )
--- a/wigeongw/gateway/upload_memory_test.py
+++ b/wigeongw/gateway/upload_memory_test.py
@@ -33,7 +33,7 @@
         self,
     ) -> None:
         """Two uploads of the allowed size ended the host."""
-        app = self.host.proxy_app
+        app = self.host.proxy_app.admission
         first = asyncio.create_task(
             self.send("/write/a", "POST", "id-1", data=self.body())
         )
@@ -71,14 +71,14 @@
 
         status, body, _ = await self.send("/write/a", "POST", data=grow())
         self.assertEqual((status, body), (503, b"memory\n"))
-        await self.until(lambda: self.host.proxy_app.held_bytes == 0)
+        await self.until(lambda: self.host.proxy_app.admission.held_bytes == 0)
         self.assertEqual(self.ran_count(), 0)
 
     async def test_memory_is_free_after_a_client_has_left(self) -> None:
         task = asyncio.create_task(
             self.send("/write/a", "POST", data=self.body())
         )
-        app = self.host.proxy_app
+        app = self.host.proxy_app.admission
         await self.until(lambda: app.held_bytes >= UPLOAD_BYTES - 1)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
