--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,13 +8,36 @@
 from collections.abc import Callable
 import signal
 import time
+from typing import Any
 
+import aiohttp
+
+from clockworks import documents
+from clockworks import sample_documents
 from soak.proxy import LinkState
 from soak.run_history import Disturbance
 from soak.site import GRACE_PERIOD_S
 from soak.site import Site
 from soak.site import SoakHost
 from soak.upstreams import Behavior
+from soak.upstreams import HEADER_NAMES
+
+# Entries of other writers: bytes that cannot be read, and odd fields.
+ODD_ENTRIES: tuple[Any, ...] = (
+    b"[" * 4_000,
+    b"\xff",
+    sample_documents.target_entry(born=10**400),
+    sample_documents.target_entry(address="127.0.0.1:70000"),
+    sample_documents.target_entry(address="no.such.name.example:80"),
+    sample_documents.target_entry(zone="\ud800"),
+)
+WATCH_CUT_INTERVAL_S = 0.02
+UPLOADS_AT_ONCE = 3
+UPLOAD_BYTES = 48 << 20
+UPLOAD_TIMEOUT_S = 3.0
+UPLOAD_AUTHORITY = "b.example"
+UPLOAD_TARGET = "/adjust/upload"
+MAX_MEMORY_BYTES = 300_000_000
 
 Fault = Callable[[Site, float], Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
@@ -188,3 +211,58 @@
     )
     await asyncio.sleep(duration_s)
     upstream.behavior = Behavior.NORMAL
+
+
+@register_fault("entry", is_planned=True)
+async def write_odd_entry(site: Site, duration_s: float) -> None:
+    """Write an entry that names no upstream among those of the upstreams."""
+    key = f"{documents.TARGET_PREFIX}odd-{site.rng.randrange(100)}"
+    await site.store.put(key, site.rng.choice(ODD_ENTRIES))
+    await asyncio.sleep(duration_s)
+    await site.store.delete([key])
+
+
+@register_fault("watch", is_planned=True)
+async def cut_watches(site: Site, duration_s: float) -> None:
+    """Cut the watches that wait, again and again."""
+    ends_at = time.monotonic() + duration_s
+    while time.monotonic() < ends_at:
+        site.store.cut_watches()
+        await asyncio.sleep(WATCH_CUT_INTERVAL_S)
+
+
+@register_fault("upload", is_planned=True)
+async def send_large_bodies(site: Site, duration_s: float) -> None:
+    """Send large bodies to one host, which must stay within its memory."""
+    host = _random_host(site)
+    number = site.rng.getrandbits(32)
+    uploads = [
+        _upload(host, f"upload-{number}-{index}")
+        for index in range(UPLOADS_AT_ONCE)
+    ]
+    await asyncio.gather(*uploads)
+    used_bytes = host.memory_bytes()
+    if used_bytes > MAX_MEMORY_BYTES:
+        site.history.failures.append(
+            f"{host.name}: uses {used_bytes} bytes after uploads"
+        )
+
+
+async def _upload(host: SoakHost, request_id: str) -> None:
+    """Send one large body and read the answer, if any."""
+    url = f"http://{host.host_config.front}{UPLOAD_TARGET}"
+    timeout = aiohttp.ClientTimeout(total=UPLOAD_TIMEOUT_S)
+    try:
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            async with session.post(
+                url,
+                data=bytes(UPLOAD_BYTES),
+                headers={
+                    "Host": UPLOAD_AUTHORITY,
+                    HEADER_NAMES.request_id: request_id,
+                },
+            ) as response:
+                await response.read()
+    except (aiohttp.ClientError, OSError, TimeoutError):
+        # The host may be down, or another fault may break the upload.
+        return
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -20,6 +20,8 @@
 # every host learns that they did.
 SETTLE_DELAY_S = 7.0
 RECOVERY_CHECK_S = 1.0
+# Log event of a background task that had to be started again.
+TASK_FAILURE = "event=task_failed"
 MIN_RECOVERED_SUCCESS_SHARE = 0.98
 
 
@@ -69,6 +71,10 @@
                 site.history.failures.append(
                     f"{host.name}: process ended with exit code {code}"
                 )
+            if TASK_FAILURE in host.log_file.read_text(encoding="utf-8"):
+                site.history.failures.append(
+                    f"{host.name}: a background task failed, see its log"
+                )
         return RunResult(
             seed,
             invariants.find_violations(site.history),
--- a/soak/site.py
+++ b/soak/site.py
@@ -41,6 +41,7 @@
 # Below the ephemeral port range, from which the system assigns the ports of
 # outgoing connections.
 HOST_PORT_RANGE = (12_000, 30_000)
+BYTES_PER_KIB = 1_024
 # Fields of /proc/PID/status: masks of the ignored and the handled signals.
 SIGNAL_MASK_FIELDS = ("SigIgn:", "SigCgt:")
 
@@ -152,6 +153,21 @@
         ]
         return any(int(mask, 16) >> (number - 1) & 1 for mask in masks)
 
+    def memory_bytes(self) -> int:
+        """Return the most memory that the process has used; 0 when it ended.
+
+        Only resident memory counts.
+        """
+        if self.process is None or not self.is_running:
+            return 0
+        path = pathlib.Path(f"/proc/{self.process.pid}/status")
+        try:
+            lines = path.read_text(encoding="utf-8").splitlines()
+        except ProcessLookupError:
+            return 0
+        sizes = [ln.split()[1] for ln in lines if ln.startswith("VmHWM:")]
+        return int(sizes[0]) * BYTES_PER_KIB if sizes else 0
+
     async def wait(self) -> int:
         """Wait for the process to end and return its exit code."""
         assert self.process is not None
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -1,6 +1,7 @@
 """Upstreams that record what they execute and misbehave on demand."""
 
 import asyncio
+import contextlib
 from contextlib import AsyncExitStack
 import enum
 import random
@@ -23,6 +24,8 @@
 SLOTS = 4
 HEALTH_PATH = "/health"
 SILENCE_DURATION_S = 60.0
+ENDLESS_PIECE = b"x" * 65_536
+ENDLESS_PAUSE_S = 0.005
 
 
 class Behavior(enum.Enum):
@@ -41,6 +44,8 @@
     CUT_SHORT = "cut_short"
     # Takes 10 times as long.
     SLOW = "slow"
+    # Sends body bytes until its caller closes the connection.
+    ENDLESS = "endless"
 
 
 class SoakUpstream:
@@ -160,6 +165,9 @@
         if behavior is Behavior.DROPS_RESPONSE:
             writer.close()
             return
+        if behavior is Behavior.ENDLESS:
+            await _write_until_closed(writer, header_lines)
+            return
         response = response_bytes(200, body, *header_lines, SIGNATURE_HEADER)
         if behavior is Behavior.CUT_SHORT:
             writer.write(response[:-1])
@@ -170,3 +178,15 @@
             writer.write(
                 response_bytes(200, b"nobody asked", SIGNATURE_HEADER)
             )
+
+
+async def _write_until_closed(
+    writer: asyncio.StreamWriter, header_lines: list[str]
+) -> None:
+    lines = (*header_lines, SIGNATURE_HEADER)
+    writer.write(response_bytes(200, b"", *lines, length=-1))
+    with contextlib.suppress(ConnectionError):
+        while not writer.is_closing():
+            writer.write(ENDLESS_PIECE)
+            await writer.drain()
+            await asyncio.sleep(ENDLESS_PAUSE_S)
