Ports of test hosts are given out once

Cause, suspected: hosts of tests and of the soak drew a random port below 30,000 that was free when drawn. No run here has shown the error itself.

--- a/soak/site.py
+++ b/soak/site.py
@@ -8,7 +8,6 @@
 import pathlib
 import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -26,6 +25,7 @@
 from soak.proxy import Proxy
 from soak.run_history import RunHistory
 from soak.upstreams import SoakUpstream
+from standins.free_ports import free_address
 from wigeongw.core.clock import MS_PER_S
 from wigeongw.core.site import HostConfig
 from wigeongw.core.site import SiteLimits
@@ -38,30 +38,11 @@
 CLIENT_COUNT = 10
 GRACE_PERIOD_S = 3.0
 READY_TIMEOUT_S = 10.0
-# Below the ephemeral port range, from which the system assigns the ports of
-# outgoing connections.
-HOST_PORT_RANGE = (12_000, 30_000)
 BYTES_PER_KIB = 1_024
 # Fields of /proc/PID/status: masks of the ignored and the handled signals.
 SIGNAL_MASK_FIELDS = ("SigIgn:", "SigCgt:")
 
 
-def free_address() -> str:
-    """Return a free loopback address outside the ephemeral port range.
-
-    A host keeps its addresses over restarts. While the host is down, an
-    outgoing connection could take a port of the ephemeral range.
-    """
-    while True:
-        port = random.randrange(*HOST_PORT_RANGE)
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return f"127.0.0.1:{port}"
-
-
 class SoakHost:
     """One entry host: a process that is restarted at fixed addresses.
 
--- a/wigeongw/gateway/borrower_test.py
+++ b/wigeongw/gateway/borrower_test.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 
+from standins.free_ports import free_address
 from wigeongw.adapters.memory_catalog import MemoryCatalog
 from wigeongw.adapters.native_dialect import NativeDialect
 from wigeongw.core.clock import Clock
@@ -19,7 +20,6 @@
 from wigeongw.gateway.host import GatewayHost
 from wigeongw.gateway.host import HostDependencies
 from wigeongw.gateway.host_case import configuration
-from wigeongw.gateway.host_case import free_port
 from wigeongw.ports.catalog import CatalogError
 from wigeongw.ports.catalog import ChangeBatch
 from wigeongw.ports.catalog import Lease
@@ -84,7 +84,7 @@
         )
         self.store = MemoryCatalog()
         await self.store.publish(configuration(revision=1), TARGET)
-        self.contact = f"127.0.0.1:{free_port()}"
+        self.contact = free_address()
         self.first = self.start(
             "first", FaultyCatalog(self.store), self.contact
         )
@@ -98,11 +98,11 @@
         host_config = HostConfig(
             name,
             "amman",
-            f"127.0.0.1:{free_port()}",
+            free_address(),
             "",
             "",
             contact=contact,
-            seeds=(f"127.0.0.1:{free_port()}", self.contact),
+            seeds=(free_address(), self.contact),
         )
         dependencies = HostDependencies(
             catalog, NativeDialect(), lambda state: {}, self.session
@@ -127,7 +127,7 @@
 
     def start_late(self, fault: str) -> tuple[GatewayHost, FaultyCatalog]:
         catalog = FaultyCatalog(self.store, fault)
-        contact = f"127.0.0.1:{free_port()}"
+        contact = free_address()
         return self.start("late", catalog, contact), catalog
 
     async def test_host_becomes_ready_from_seed(self) -> None:
--- a/wigeongw/gateway/host_case.py
+++ b/wigeongw/gateway/host_case.py
@@ -7,11 +7,11 @@
 import os
 import random
 import select
-import socket
 import unittest
 
 import aiohttp
 
+from standins.free_ports import free_address
 from standins.scripted_upstream import ReceivedRequest
 from standins.scripted_upstream import response_bytes
 from standins.scripted_upstream import ScriptedUpstream
@@ -32,8 +32,6 @@
 NAMES = NativeDialect.names
 SIGNATURE_HEADER = f"{NAMES.signature}: proof"
 TIMEOUT_S = 10.0
-# Below the range from which the system takes ports of outgoing connections.
-PORT_RANGE = (12_000, 30_000)
 CLOCK = Clock()
 ROUTE_KINDS = {
     "read": RouteKind.IDEMPOTENT,
@@ -42,22 +40,6 @@
 }
 
 
-def free_port() -> int:
-    """Return a TCP port that was free when it was checked.
-
-    The system does not take it for an outgoing connection until a host
-    listens.
-    """
-    while True:
-        port = random.randrange(*PORT_RANGE)
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-
-
 def configuration(
     revision: int = 1,
     service: str = "s",
@@ -275,11 +257,11 @@
 
     def _start_host(self, number: int) -> GatewayHost:
         """Start a host; several hosts exchange datagrams."""
-        peer = f"127.0.0.1:{free_port()}" if self.host_count > 1 else ""
+        peer = free_address() if self.host_count > 1 else ""
         host_config = HostConfig(
             f"h{number}" if number else "h",
             "amman",
-            f"127.0.0.1:{free_port()}",
+            free_address(),
             "127.0.0.1:1",
             "",
             peer,
--- a/wigeongw/gateway/observation_exchange_test.py
+++ b/wigeongw/gateway/observation_exchange_test.py
@@ -8,6 +8,7 @@
 import unittest
 import unittest.mock
 
+from standins.free_ports import free_address
 from wigeongw.adapters import observation_codec
 from wigeongw.adapters.observation_codec import Observations
 from wigeongw.core.clock import Clock
@@ -21,7 +22,6 @@
 from wigeongw.decisions.site_view import SiteView
 from wigeongw.gateway.decision_log import DecisionLog
 from wigeongw.gateway.host_case import configuration
-from wigeongw.gateway.host_case import free_port
 from wigeongw.gateway.observation_exchange import ObservationExchange
 from wigeongw.gateway.peer_socket import PeerSocket
 from wigeongw.gateway.state import GatewayState
@@ -37,7 +37,7 @@
         stack = await self.enterAsyncContext(AsyncExitStack())
         null_fd = os.open(os.devnull, os.O_WRONLY)
         stack.callback(os.close, null_fd)
-        peers = {name: f"127.0.0.1:{free_port()}" for name in ZONES}
+        peers = {name: free_address() for name in ZONES}
         hosts = [
             Host(name, f"127.0.0.1:{n}", ZONES[name], peers[name])
             for n, name in enumerate(ZONES)
--- a/wigeongw/gateway/relay_test.py
+++ b/wigeongw/gateway/relay_test.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from standins.free_ports import free_address
 from wigeongw.adapters.memory_catalog import MemoryCatalog
 from wigeongw.adapters.native_dialect import NativeDialect
 from wigeongw.core.clock import Clock
@@ -18,7 +19,6 @@
 from wigeongw.gateway.host import GatewayHost
 from wigeongw.gateway.host import HostDependencies
 from wigeongw.gateway.host_case import configuration
-from wigeongw.gateway.host_case import free_port
 from wigeongw.ports.catalog import CatalogError
 from wigeongw.ports.catalog import ChangeBatch
 from wigeongw.ports.catalog import HostGone
@@ -106,10 +106,10 @@
         host_config = HostConfig(
             name,
             "amman",
-            f"127.0.0.1:{free_port()}",
+            free_address(),
             "",
             "",
-            f"127.0.0.1:{free_port()}",
+            free_address(),
         )
         dependencies = HostDependencies(
             catalog,  # type: ignore[arg-type]
