--- a/standins/upstream_http.py
+++ b/standins/upstream_http.py
@@ -129,6 +129,9 @@
             self.transport.write(response[: faults.truncate_at])
             self.transport.close()
             return
+        if faults.stop_at >= 0:
+            self.transport.write(response[: faults.stop_at])
+            return
         self.transport.write(response)
         if faults.no_length:
             self.transport.close()
--- a/standins/upstream_model.py
+++ b/standins/upstream_model.py
@@ -37,6 +37,8 @@
     Attributes:
         truncate_at: Number of bytes of the raw response that are sent before
             the connection closes; -1 for all.
+        stop_at: Number of bytes of the raw response after which the upstream
+            falls silent; -1 for never.
         file_cut_at: Number of body bytes of a file that are sent before the
             connection closes; -1 for all.
         wrong_identity: Responses carry an id that no request has.
@@ -53,6 +55,7 @@
     """
 
     truncate_at: int = -1
+    stop_at: int = -1
     file_cut_at: int = -1
     wrong_identity: bool = False
     late_ms: float = 0.0
--- a/wigeongw/daemon/response_integrity_test.py
+++ b/wigeongw/daemon/response_integrity_test.py
@@ -16,6 +16,8 @@
 
 FILE_BYTES = 300_000
 
+SHORT_DEADLINE_MS = 300
+CLIENT_PATIENCE_S = 2.0
 MIN_DOWNLOADS = 12
 # By then one has gone to the upstream that breaks off.
 MAX_DOWNLOADS = 100
@@ -90,6 +92,21 @@
         body = await self.download(f"/dial-watch/file/{FILE_BYTES}")
         self.assertIsNone(body)
 
+    async def test_response_that_falls_silent_holds_its_client_for_good(
+        self,
+    ) -> None:
+        """The head, or a small body, stops in its middle."""
+        for stop_at in (30, 500):
+            for name in ("amman-1", "amman-2"):
+                await self.set_faults(name, stop_at=stop_at)
+            async with asyncio.timeout(CLIENT_PATIENCE_S):
+                response = await self.site.get(
+                    self.hosts[0],
+                    "/dial-watch/file/1000",
+                    headers={"Wigeongw-Deadline-Ms": f"{SHORT_DEADLINE_MS}"},
+                )
+            self.assertGreaterEqual(response.status, 500)
+
     async def test_responses_to_other_requests_are_not_relayed(self) -> None:
         for name in ("amman-1", "amman-2"):
             await self.set_faults(name, wrong_identity=True)
