wigeongw serve learns of a store that comes back from a copy

Cause: an epoch is a revision of the store, which gives it out again after the return, and the gateway's answers name no era.

Fix: a full reading that contradicts what a host knew before it asked proves a return; a second reading confirms it. Hosts count returns and tell the count with each fence. No fence counts for the time of a reading and a lease after it, a lease is asked for anew, the open watch ends, and a new lease backs fences only after a reading. Settings with no higher number replace those in force if a reading shows them and they were accepted later.

Not played with processes.

--- a/wigeongw/adapters/memory_store.py
+++ b/wigeongw/adapters/memory_store.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Sequence
+from copy import deepcopy
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
@@ -72,6 +73,17 @@
     previous: Entry | None
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """A store as it was at some time."""
+
+    entries: dict[str, Entry]
+    revision: int
+    history: tuple[KeyChange, ...]
+    leases: dict[int, Lease]
+    last_lease: int
+
+
 class MemoryStore:
     """A store in memory.
 
@@ -169,6 +181,30 @@
                 replace(c.entry, revision=c.revision) for c in new_changes
             )
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the store."""
+        leases = {n: deepcopy(lease) for n, lease in self.leases.items()}
+        return StoreCopy(
+            dict(self.entries),
+            self.revision,
+            tuple(self.history),
+            leases,
+            self.last_lease,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy, with leases that last anew.
+
+        Watches that are open stay open and wait for their revisions.
+        """
+        self.entries = dict(copy.entries)
+        self.revision = copy.revision
+        self.history = list(copy.history)
+        self.leases = {n: deepcopy(lease) for n, lease in copy.leases.items()}
+        self.last_lease = copy.last_lease
+        for lease in self.leases.values():
+            lease.expires_at = self.clock.now() + lease.lifetime_ms
+
     async def set_faults(self, faults: Faults) -> None:
         """Replace the injected faults."""
         self.faults = faults
--- a/wigeongw/adapters/peer_codec.py
+++ b/wigeongw/adapters/peer_codec.py
@@ -150,7 +150,7 @@
             for u in heartbeat.upstreams
         ),
         tuple(heartbeat.leaving_upstreams),
-        tuple(Fence(f.pool, f.host, f.epoch) for f in heartbeat.fences),
+        tuple(Fence(f.pool, f.host, f.epoch, f.era) for f in heartbeat.fences),
     )
 
 
@@ -201,7 +201,7 @@
         ],
         leaving_upstreams=heartbeat.leaving_upstreams,
         fences=[
-            pb.Fence(pool=f.pool, host=f.host, epoch=f.epoch)
+            pb.Fence(pool=f.pool, host=f.host, epoch=f.epoch, era=f.era)
             for f in heartbeat.fences
         ],
     )
--- a/wigeongw/adapters/peer_codec_test.py
+++ b/wigeongw/adapters/peer_codec_test.py
@@ -53,7 +53,7 @@
     def test_heartbeat_ages_are_independent_of_clocks(self) -> None:
         view = UpstreamView("p", "u", True, 4, "s", 900.0)
         heartbeat = Heartbeat(
-            "h", 3, True, 5.0, (view,), ("v",), (Fence("p", "h", 2),)
+            "h", 3, True, 5.0, (view,), ("v",), (Fence("p", "h", 2, 5),)
         )
         batch = codec.pack_holder_batch("h", (), heartbeat, 1_000.0)
         decoded = codec.unpack_heartbeat(batch.heartbeat, 50_000.0)
--- a/wigeongw/daemon/site_tracker.py
+++ b/wigeongw/daemon/site_tracker.py
@@ -28,6 +28,7 @@
 from wigeongw.decisions import site_state as sites
 from wigeongw.decisions.fence import Fence
 from wigeongw.decisions.fence import LeaseState
+from wigeongw.decisions.fence import NO_LEASE
 from wigeongw.decisions.fence import PeerStatus
 from wigeongw.decisions.grantor_state import UpstreamView
 from wigeongw.decisions.messages import GrantorMessage
@@ -56,6 +57,8 @@
         last_fetch_at: time of the last request for settings to each peer, in
             monotonic milliseconds.
         reachable_hosts: reachable entry hosts at the last check.
+        has_replaced_lost: whether the revision in force, or one before it,
+            replaced one that the store had lost.
     """
 
     def __init__(
@@ -71,6 +74,7 @@
         self.settings_ready = asyncio.Event()
         self.last_fetch_at: dict[str, float] = {}
         self.reachable_hosts: tuple[EntryHost, ...] = ()
+        self.has_replaced_lost = False
 
     def connect(self, permit_manager: PermitManager, peers: Peers) -> None:
         """Set the components that updates are sent to."""
@@ -100,7 +104,13 @@
         """Handle fences that were read from the store."""
         merged = fences.newest_by_pool(self.site.fences, found)
         if merged != self.site.fences:
-            self._update_site(replace(self.site, fences=merged))
+            era = max((f.era for f in merged.values()), default=0)
+            era = max(era, self.site.store_era)
+            self._update_site(replace(self.site, fences=merged, store_era=era))
+
+    def on_store_return(self) -> None:
+        """Handle a return of the store from an older copy of itself."""
+        self.site = replace(self.site, store_era=self.site.store_era + 1)
 
     def on_lease(self, lease: LeaseState) -> None:
         """Handle a renewal of the lease of this entry host."""
@@ -153,6 +163,7 @@
         peer_statuses[heartbeat.host] = PeerStatus(
             now, heartbeat.store_silent_ms
         )
+        heard_era = max((f.era for f in heartbeat.fences), default=0)
         departing_hosts = before.departing_hosts - {heartbeat.host}
         if heartbeat.leaving:
             departing_hosts = departing_hosts | {heartbeat.host}
@@ -161,6 +172,8 @@
             peer_statuses=peer_statuses,
             departing_hosts=departing_hosts,
             fences=fences.newest_by_pool(before.fences, heartbeat.fences),
+            store_era=max(before.store_era, heard_era),
+            lease=NO_LEASE if heard_era > before.store_era else before.lease,
             leaving=membership.note_leaving(
                 before.leaving, heartbeat.leaving_upstreams, now
             ),
@@ -193,8 +206,37 @@
         Returns:
             The number of the revision in force afterwards.
         """
-        if revision.number <= self.site.revision:
+        if revision.number <= self.site.revision or self._is_lost(revision):
             return self.site.revision
+        return self._put_in_force(revision)
+
+    def on_stored_revision(self, revision: Revision) -> None:
+        """Handle the current revision as a reading of the store shows it."""
+        in_force = self.revision
+        if in_force and revisions.replaces_lost(revision, in_force):
+            log.warning(
+                "Revision {} in force was lost by the store; revision {} "
+                "was published after it.",
+                in_force.number,
+                revision.number,
+            )
+            self.has_replaced_lost = True
+            self._put_in_force(revision)
+
+    def _is_lost(self, revision: Revision) -> bool:
+        """Return whether a host may have kept a revision that was lost."""
+        return (
+            self.has_replaced_lost
+            and self.revision is not None
+            and revision.at_ms <= self.revision.at_ms
+        )
+
+    def _put_in_force(self, revision: Revision) -> int:
+        """Put a revision in force if it is valid.
+
+        Returns:
+            The number of the revision in force afterwards.
+        """
         if not revisions.has_valid_digest(revision):
             log.warning(
                 "Revision {} ignored: its digest does not match its contents.",
--- a/wigeongw/daemon/store_sync.py
+++ b/wigeongw/daemon/store_sync.py
@@ -14,16 +14,20 @@
 
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
+from wigeongw.core.records import Revision
 from wigeongw.daemon.site_tracker import SiteTracker
 from wigeongw.decisions import fence as fences
 from wigeongw.decisions import site_state as sites
 from wigeongw.decisions.fence import Fence
 from wigeongw.decisions.fence import LeaseState
+from wigeongw.decisions.fence import NO_LEASE
+from wigeongw.decisions.site_state import SiteState
 from wigeongw.ports.errors import HostListError
 from wigeongw.ports.errors import StoreError
 from wigeongw.ports.host_list import HostList
 from wigeongw.ports.store import Entry
 from wigeongw.ports.store import Put
+from wigeongw.ports.store import Snapshot
 from wigeongw.ports.store import Store
 from wigeongw.settings import revisions
 from wigeongw.settings.schema import MembershipSettings
@@ -49,6 +53,10 @@
             milliseconds.
         misplaced_since: own fences that another host should have, with the
             time since when.
+        known_era: era of the store that this object has prepared for.
+        lease_counts_from: time from which on the lease backs fences again
+            after a return of the store.
+        watch_limit: ends the watch that is open; None without one.
     """
 
     def __init__(
@@ -70,19 +78,16 @@
         self.is_stopping = False
         self.fences_allowed_at = float("inf")
         self.misplaced_since: dict[str, float] = {}
+        self.known_era = 0
+        self.lease_counts_from = float("-inf")
+        self.watch_limit: asyncio.Timeout | None = None
 
     async def run_watch(self) -> None:
         """Watch settings and fences until cancelled."""
         while True:
             try:
-                after = await self.read_once()
-                watch = self.store.watch(
-                    self.prefix + revisions.LIVE_PREFIX, after
-                )
-                async for entries in watch:
-                    self._note_store_reply()
-                    self._apply_entries(entries)
-            except StoreError as error:
+                await self._follow(await self.read_once())
+            except (StoreError, TimeoutError) as error:
                 log.info(
                     "Watching {} failed: {}.",
                     self.prefix + revisions.LIVE_PREFIX,
@@ -90,6 +95,17 @@
                 )
             await self._wait_before_retry()
 
+    async def _follow(self, after: int) -> None:
+        """Apply changes after a revision until the watch ends."""
+        watch = self.store.watch(self.prefix + revisions.LIVE_PREFIX, after)
+        async with asyncio.timeout(None) as self.watch_limit:
+            try:
+                async for entries in watch:
+                    self._note_store_reply()
+                    self._apply_entries(entries)
+            finally:
+                self.watch_limit = None
+
     async def run_reads(self) -> None:
         """Read settings and fences periodically until cancelled."""
         while True:
@@ -106,20 +122,72 @@
         Raises:
             StoreError: when the store did not reply.
         """
-        snapshot = await self.store.read(self.prefix + revisions.LIVE_PREFIX)
-        self._note_store_reply()
+        revision_before = self.site_tracker.revision
+        before = self.site_tracker.site
+        snapshot = await self._read_live()
+        if self._shows_return(before, snapshot):
+            # A second reading, as the first one may have been a stale one.
+            before = self.site_tracker.site
+            snapshot = await self._read_live()
+            if self._shows_return(before, snapshot):
+                self.site_tracker.on_store_return()
+        self._prepare_for_era()
         self._apply_entries(snapshot.entries)
-        present = [
-            fence
-            for fence in map(self._parse_fence, snapshot.entries)
-            if fence is not None
-        ]
-        known = self.site_tracker.site.fences
+        if self.site_tracker.revision is revision_before:
+            self._replace_lost_settings(snapshot)
+        site = self.site_tracker.site
         self.site_tracker.on_fences(
-            fences.released_fences(known, present, snapshot.revision)
+            fences.released_fences(
+                site.fences,
+                self._present_fences(snapshot),
+                snapshot.revision,
+                site.store_era,
+            )
         )
         return snapshot.revision
 
+    async def _read_live(self) -> Snapshot:
+        snapshot = await self.store.read(self.prefix + revisions.LIVE_PREFIX)
+        self._note_store_reply()
+        return snapshot
+
+    def _present_fences(self, snapshot: Snapshot) -> list[Fence]:
+        parsed = map(self._parse_fence, snapshot.entries)
+        return [fence for fence in parsed if fence is not None]
+
+    def _shows_return(self, before: SiteState, snapshot: Snapshot) -> bool:
+        """Return whether a reading shows a return that is not known yet."""
+        if self.site_tracker.site.store_era != before.store_era:
+            return False
+        return fences.shows_return(
+            before.fences,
+            self._present_fences(snapshot),
+            snapshot.revision,
+            before.store_era,
+        )
+
+    def _prepare_for_era(self) -> None:
+        """Rely on no fence for a while after a return of the store.
+
+        The owner of a fence that the store has lost may rely on it until its
+        next reading, and while it reaches no store until its lease ends.
+        """
+        era = self.site_tracker.site.store_era
+        if era == self.known_era:
+            return
+        self.known_era = era
+        log.warning("The store came back from an older copy (era {}).", era)
+        wait_ms = READ_INTERVAL_MS + self._membership().lease_ms
+        counts_from = self.clock.now() + wait_ms
+        self.lease_counts_from = counts_from
+        self.fences_allowed_at = max(self.fences_allowed_at, counts_from)
+        self.site_tracker.on_lease(NO_LEASE)
+        # The store may have given its number out again.
+        self.lease_id = 0
+        if self.watch_limit is not None:
+            # It waits for revisions of the former era.
+            self.watch_limit.reschedule(asyncio.get_running_loop().time())
+
     async def run_lease(self) -> None:
         """Renew the lease, or request a new one, until cancelled."""
         while True:
@@ -131,18 +199,23 @@
                 )
                 if not is_renewed:
                     self.lease_id = 0
-                    self.lease_id = await self.store.grant_lease(
+                    lease_id = await self.store.grant_lease(
                         membership.lease_ms
                     )
+                    # Fences under the former lease may be gone.
+                    await self.read_once()
+                    self.lease_id = lease_id
             except StoreError as error:
                 log.info("Renewing the lease failed: {}.", error)
                 await self._wait_before_retry()
                 continue
             self._note_store_reply()
-            ends_at = sent_at + membership.lease_ms
-            self.site_tracker.on_lease(
-                LeaseState(ends_at, membership.lease_ms)
-            )
+            self._prepare_for_era()
+            if self.clock.now() >= self.lease_counts_from:
+                ends_at = sent_at + membership.lease_ms
+                self.site_tracker.on_lease(
+                    LeaseState(ends_at, membership.lease_ms)
+                )
             await asyncio.sleep(
                 seconds(membership.lease_ms / RENEWALS_PER_LEASE)
             )
@@ -207,10 +280,25 @@
         self.site_tracker.on_fences(found_fences)
 
     def _apply_settings(self, raw: bytes) -> None:
+        revision = self._decode_settings(raw)
+        if revision is not None:
+            self.site_tracker.on_revision(revision)
+
+    def _replace_lost_settings(self, snapshot: Snapshot) -> None:
+        """Put settings in force that replace ones that the store lost."""
+        key = self.prefix + revisions.CURRENT_KEY
+        for entry in snapshot.entries:
+            if entry.key == key and entry.value:
+                revision = self._decode_settings(entry.value)
+                if revision is not None:
+                    self.site_tracker.on_stored_revision(revision)
+
+    def _decode_settings(self, raw: bytes) -> Revision | None:
         try:
-            self.site_tracker.on_revision(revisions.decode(raw))
+            return revisions.decode(raw)
         except revisions.HistoryError as error:
             log.error("Settings in the store are invalid: {}.", error)
+            return None
 
     def _parse_fence(self, entry: Entry) -> Fence | None:
         fence_prefix = self.prefix + FENCE_PREFIX
@@ -222,7 +310,8 @@
         except UnicodeDecodeError as error:
             log.warning("Ignoring the fence of {!r}: {}.", pool, error)
             return None
-        return Fence(pool, host_name, entry.revision)
+        era = self.site_tracker.site.store_era
+        return Fence(pool, host_name, entry.revision, era)
 
     def _fences_to_take(self) -> list[str]:
         """Return pools with a free fence that this host should take."""
@@ -255,8 +344,9 @@
             result = await self.store.commit((put,))
             self._note_store_reply()
             if result.ok:
+                era = self.site_tracker.site.store_era
                 self.site_tracker.on_fences(
-                    [Fence(pool, host_name, result.revision)]
+                    [Fence(pool, host_name, result.revision, era)]
                 )
                 return
             if result.found[0].value:
@@ -291,7 +381,9 @@
         result = await self.store.commit((put,))
         self._note_store_reply()
         if result.ok:
-            self.site_tracker.on_fences([Fence(pool, "", result.revision)])
+            self.site_tracker.on_fences(
+                [Fence(pool, "", result.revision, fence.era)]
+            )
             return
         self._apply_entries(result.found)
 
--- a/wigeongw/decisions/site_state.py
+++ b/wigeongw/decisions/site_state.py
@@ -22,6 +22,7 @@
 from wigeongw.decisions import membership
 from wigeongw.decisions.fence import Fence
 from wigeongw.decisions.fence import LeaseState
+from wigeongw.decisions.fence import NO_LEASE
 from wigeongw.decisions.fence import PeerStatus
 from wigeongw.decisions.grantor_state import Takeover
 from wigeongw.decisions.grantor_state import UpstreamView
@@ -49,6 +50,7 @@
         departing_hosts: entry hosts that announced their shutdown.
         connected_hosts: hosts to which this host has an open stream.
         fences: fences as last read or announced, by pool.
+        store_era: how many returns of the store from an older copy are known.
         lease: lease of this entry host.
         store_responded_at: when the store last responded to this host.
         upstreams: last view of each upstream from its grantor, by name.
@@ -64,7 +66,8 @@
     departing_hosts: frozenset[str] = frozenset()
     connected_hosts: frozenset[str] = frozenset()
     fences: Mapping[str, Fence] = field(default_factory=dict)
-    lease: LeaseState = LeaseState(NEVER, 0.0)
+    store_era: int = 0
+    lease: LeaseState = NO_LEASE
     store_responded_at: float = NEVER
     upstreams: Mapping[str, UpstreamView] = field(default_factory=dict)
     upstreams_by_pool: Mapping[str, tuple[Upstream, ...]] = field(
@@ -233,7 +236,10 @@
     """
     fence = site.fences.get(pool)
     return (
-        fences_exclusive and fence is not None and fence.host == site.me.name
+        fences_exclusive
+        and fence is not None
+        and fence.host == site.me.name
+        and fence.era == site.store_era
     )
 
 
--- a/wigeongw/settings/revisions.py
+++ b/wigeongw/settings/revisions.py
@@ -94,6 +94,19 @@
     return revision.digest == digest(revision)
 
 
+def replaces_lost(found: Revision, in_force: Revision) -> bool:
+    """Return whether a stored revision replaces one that the store lost.
+
+    A store that came back from an older copy gives numbers out again. The
+    revision in force stays until one is published after it.
+
+    Args:
+        found: the current revision of the store.
+        in_force: the revision in force, known before the store was read.
+    """
+    return found.number <= in_force.number and found.at_ms > in_force.at_ms
+
+
 def encode(revision: Revision) -> bytes:
     """Encode a revision for the store."""
     return REVISION_ADAPTER.dump_json(revision)
