A grantor checks its fences after a pause before it grants

Cause: a grantor learns from a timer whether it still holds its fence. After a pause, asks that arrived meanwhile are read before the timers run and were granted under a lease that had ended.

Fix: a message or load report that comes more than 100 ms after the last check of the fences checks them first.

--- a/wigeongw/daemon/permit_manager.py
+++ b/wigeongw/daemon/permit_manager.py
@@ -53,6 +53,9 @@
 INCARNATION_BITS = 30
 BUSY_TICK_INTERVAL_MS = 2.0
 IDLE_TICK_INTERVAL_MS = 20.0
+# After a longer time without a timer, messages that came in a pause of the
+# process may be read before the timers run. Less than FENCE_MARGIN_MS.
+MAX_FENCE_CHECK_AGE_MS = 100.0
 
 
 class NotAdmittedError(WigeongwError):
@@ -85,6 +88,7 @@
         effect_queue: effects that have not been applied yet.
         is_applying: whether effects are being applied; effects that follow
             from them are appended to the queue.
+        fences_checked_at: when the fences were last checked, monotonic clock.
     """
 
     def __init__(
@@ -113,6 +117,7 @@
         self.requeued: dict[str, list[Wanted]] = {}
         self.effect_queue: deque[Effect | ToHolder] = deque()
         self.is_applying = False
+        self.fences_checked_at = float("-inf")
 
     async def acquire(self, service: str, wanted: Wanted) -> Held:
         """Wait for a permit to send a request.
@@ -230,6 +235,7 @@
         grantor = self.grantors.get(pool)
         if grantor is not None:
             now = self.clock.now()
+            self._check_fences_after_pause(now)
             self._apply(grantor.measured(upstream, start, now))
 
     def upstream_views(self) -> tuple[UpstreamView, ...]:
@@ -264,15 +270,26 @@
         """Process the timers of all holders and grantors once."""
         now = self.clock.now()
         effects: list[Effect | ToHolder] = []
+        self._check_fences(now)
+        for grantor in self.grantors.values():
+            effects.extend(grantor.tick(now))
+        for holder in self.holders.values():
+            effects.extend(holder.tick(now))
+        self._apply(effects)
+
+    def _check_fences(self, now: float) -> None:
+        """Tell all grantors whether this host still holds their fences."""
+        self.fences_checked_at = now
         are_fences_exclusive = sites.are_fences_exclusive(self.site, now)
         for pool, grantor in self.grantors.items():
             grantor.set_fenced(
                 sites.owns_fence(self.site, pool, are_fences_exclusive), now
             )
-            effects.extend(grantor.tick(now))
-        for holder in self.holders.values():
-            effects.extend(holder.tick(now))
-        self._apply(effects)
+
+    def _check_fences_after_pause(self, now: float) -> None:
+        """Check the fences if no timer has done so for a while."""
+        if now - self.fences_checked_at > MAX_FENCE_CHECK_AGE_MS:
+            self._check_fences(now)
 
     def _apply(self, effects: Iterable[Effect | ToHolder]) -> None:
         """Apply effects, and the effects that follow from them, in order."""
@@ -342,6 +359,7 @@
         if grantor is None:
             return []
         now = self.clock.now()
+        self._check_fences_after_pause(now)
         if isinstance(message, Ask):
             return grantor.ask(host, message, now)
         if isinstance(message, Return):
