--- a/wigeongw/daemon/frontend.py
+++ b/wigeongw/daemon/frontend.py
@@ -8,19 +8,18 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from collections.abc import Awaitable
-from collections.abc import Callable
-from collections.abc import Mapping
-import contextlib
-import json
 import random
-from typing import Any
 
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
 from wigeongw.core.identifiers import new_random_id
 from wigeongw.core.metrics import Metrics
 from wigeongw.core.records import Outcome
+from wigeongw.daemon.asgi import App
+from wigeongw.daemon.asgi import Receive
+from wigeongw.daemon.asgi import Scope
+from wigeongw.daemon.asgi import Send
+from wigeongw.daemon.client_response import ClientResponse
 from wigeongw.daemon.dispatcher import Dispatcher
 from wigeongw.daemon.dispatcher import Exchange
 from wigeongw.daemon.dispatcher import Request
@@ -33,15 +32,13 @@
 from wigeongw.daemon.idempotency_manager import digest
 from wigeongw.daemon.idempotency_manager import IdempotencyManager
 from wigeongw.daemon.idempotency_manager import OwnedClaim
+from wigeongw.daemon.request_body import cancel_on_disconnect
+from wigeongw.daemon.request_body import ClientDisconnectedError
+from wigeongw.daemon.request_body import RequestBody
 from wigeongw.decisions.idempotency import Claim
 from wigeongw.decisions.retry import IDEMPOTENT_METHODS
 from wigeongw.settings.schema import Settings
 
-Scope = dict[str, Any]
-Receive = Callable[[], Awaitable[Mapping[str, Any]]]
-Send = Callable[[dict[str, Any]], Awaitable[None]]
-App = Callable[[Scope, Receive, Send], Awaitable[None]]
-
 WELL_KNOWN_PREFIX = "/.well-known/wigeongw"
 # Larger request bodies without an idempotency key are streamed.
 MAX_BUFFERED_BODY_BYTES = 65_536
@@ -114,7 +111,7 @@
             parsed = parse_headers(
                 scope, settings.services[service], self.host_name
             )
-            body = _RequestBody(receive, parsed)
+            body = RequestBody(receive, parsed)
             outcome = await self._serve(
                 _RequestContext(scope, identity, service, parsed, body),
                 response,
@@ -122,7 +119,7 @@
         except Problem as problem:
             outcome = problem.outcome
             await response.send_problem(problem, identity)
-        except _ClientDisconnectedError:
+        except ClientDisconnectedError:
             self.metrics.count("client_gone", service)
         finally:
             elapsed_ms = self.clock.now() - started_at
@@ -184,7 +181,7 @@
             body or None,
             ends_at,
         )
-        async with _cancel_on_disconnect(context.body, response):
+        async with cancel_on_disconnect(context.body, response):
             if needs_key and context.parsed.key:
                 return await self._serve_keyed(
                     request, context.parsed, response
@@ -308,88 +305,6 @@
         )
 
 
-class ClientResponse:
-    """Sends the response to one request and tracks how far it got.
-
-    Attributes:
-        close_connections: whether to send ``Connection: close``.
-        is_started: whether the head was sent.
-        is_ended: whether the end of the body was sent.
-        upstream_ms: time that the upstream took for a buffered response; 0
-            for others.
-    """
-
-    def __init__(self, send: Send, close_connections: bool) -> None:
-        self.send = send
-        self.close_connections = close_connections
-        self.is_started = False
-        self.is_ended = False
-        self.upstream_ms = 0.0
-
-    async def send_head(
-        self, status: int, headers: list[tuple[bytes, bytes]]
-    ) -> None:
-        """Send the response head."""
-        if self.close_connections:
-            headers.append((b"connection", b"close"))
-        self.is_started = True
-        await self.send(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": headers,
-            }
-        )
-
-    async def send_chunk(self, chunk: bytes) -> None:
-        """Send a chunk of the body."""
-        await self.send(
-            {"type": "http.response.body", "body": chunk, "more_body": True}
-        )
-
-    async def send_end(self) -> None:
-        """Send the end of the body."""
-        self.is_ended = True
-        await self.send({"type": "http.response.body", "body": b""})
-
-    async def send_problem(self, problem: Problem, identity: str) -> None:
-        """Send a problem as ``application/problem+json``.
-
-        Raises:
-            ResponseTruncatedError: when a response head was already sent.
-        """
-        if self.is_started:
-            raise ResponseTruncatedError(str(problem))
-        body = json.dumps(
-            {
-                "type": "about:blank",
-                "title": problem.title,
-                "status": problem.status,
-                "detail": problem.detail,
-                "outcome": problem.outcome.value,
-                "request": identity,
-            }
-        ).encode()
-        headers = [
-            (b"content-type", b"application/problem+json"),
-            (b"content-length", str(len(body)).encode()),
-            (b"wigeongw-outcome", problem.outcome.value.encode()),
-            (b"wigeongw-request-id", identity.encode()),
-        ]
-        if problem.retry_after_s:
-            retry_after = str(problem.retry_after_s).encode()
-            headers.append((b"retry-after", retry_after))
-        if problem.status in (400, 408, 413):
-            headers.append((b"connection", b"close"))
-        await self.send_head(problem.status, headers)
-        await self.send_chunk(body)
-        await self.send_end()
-
-
-class _ClientDisconnectedError(Exception):
-    """The client closed its connection before the response ended."""
-
-
 class _RequestContext:
     """One request and what was parsed from it."""
 
@@ -399,7 +314,7 @@
         identity: str,
         service: str,
         parsed: ParsedHeaders,
-        body: "_RequestBody",
+        body: RequestBody,
     ) -> None:
         self.identity = identity
         self.service = service
@@ -409,109 +324,3 @@
         raw_path = scope["raw_path"].decode("latin-1")
         query = scope["query_string"].decode("latin-1")
         self.target = f"{raw_path}?{query}" if query else raw_path
-
-
-class _RequestBody:
-    """The body of a request; it can be read once.
-
-    Attributes:
-        max_bytes: largest accepted body.
-        is_ended: whether the whole body was received.
-        size: number of bytes received so far.
-        rejection: set when a streamed body exceeded ``max_bytes``; replaces
-            the upstream error that the aborted body causes.
-        fully_read: set when the whole body was received.
-    """
-
-    def __init__(self, receive: Receive, parsed: ParsedHeaders) -> None:
-        self.receive = receive
-        self.max_bytes = parsed.max_body_bytes
-        self.is_ended = parsed.length == 0
-        self.size = 0
-        self.rejection: Problem | None = None
-        self.fully_read = asyncio.Event()
-        if self.is_ended:
-            self.fully_read.set()
-
-    async def read(self, max_bytes: int) -> bytes:
-        """Read the whole body.
-
-        Raises:
-            Problem: when the body is larger than ``max_bytes``.
-        """
-        if self.is_ended:
-            return b""
-        chunks: list[bytes] = []
-        async for chunk in self.stream():
-            chunks.append(chunk)
-            if self.size > max_bytes:
-                raise Problem(
-                    413,
-                    "The body is too large",
-                    f"at most {max_bytes} bytes with an Idempotency-Key",
-                )
-        return b"".join(chunks)
-
-    async def stream(self) -> AsyncIterator[bytes]:
-        """Yield the body in chunks as they arrive."""
-        while not self.is_ended:
-            message = await self.receive()
-            if message["type"] != "http.request":
-                raise _ClientDisconnectedError
-            chunk = message.get("body", b"")
-            self.size += len(chunk)
-            if self.size > self.max_bytes:
-                self.rejection = Problem(
-                    413,
-                    "The body is too large",
-                    f"at most {self.max_bytes} bytes",
-                    Outcome.UNKNOWN,
-                )
-                raise self.rejection
-            if chunk:
-                yield chunk
-            if not message.get("more_body"):
-                self.is_ended = True
-                self.fully_read.set()
-
-    async def wait_disconnected(self) -> None:
-        """Wait until the client closes its connection.
-
-        Waits for the end of the body first, since a body and a disconnect are
-        received from the same ASGI channel.
-        """
-        await self.fully_read.wait()
-        while (await self.receive())["type"] != "http.disconnect":
-            pass
-
-
-@contextlib.asynccontextmanager
-async def _cancel_on_disconnect(
-    body: _RequestBody, response: ClientResponse
-) -> AsyncIterator[None]:
-    """Cancel the enclosed block when the client closes its connection.
-
-    Raises:
-        _ClientDisconnectedError: when the block was cancelled for that reason.
-    """
-    task = asyncio.current_task()
-    assert task is not None
-    disconnected = False
-
-    async def watch() -> None:
-        nonlocal disconnected
-        await body.wait_disconnected()
-        if not response.is_ended:
-            disconnected = True
-            task.cancel()
-
-    watcher = asyncio.create_task(watch())
-    try:
-        yield
-    except asyncio.CancelledError:
-        if not disconnected:
-            raise
-        task.uncancel()
-        raise _ClientDisconnectedError from None
-    finally:
-        watcher.cancel()
--- /dev/null
+++ b/wigeongw/daemon/request_body.py
@@ -0,0 +1,121 @@
+"""The body of a client request over ASGI, and the end of its connection."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
+from wigeongw.core.records import Outcome
+from wigeongw.daemon.asgi import Receive
+from wigeongw.daemon.client_response import ClientResponse
+from wigeongw.daemon.errors import Problem
+from wigeongw.daemon.headers import ParsedHeaders
+
+
+class ClientDisconnectedError(Exception):
+    """The client closed its connection before the response ended."""
+
+
+class RequestBody:
+    """The body of a request; it can be read once.
+
+    Attributes:
+        max_bytes: largest accepted body.
+        is_ended: whether the whole body was received.
+        size: number of bytes received so far.
+        rejection: set when a streamed body exceeded ``max_bytes``; replaces
+            the upstream error that the aborted body causes.
+        fully_read: set when the whole body was received.
+    """
+
+    def __init__(self, receive: Receive, parsed: ParsedHeaders) -> None:
+        self.receive = receive
+        self.max_bytes = parsed.max_body_bytes
+        self.is_ended = parsed.length == 0
+        self.size = 0
+        self.rejection: Problem | None = None
+        self.fully_read = asyncio.Event()
+        if self.is_ended:
+            self.fully_read.set()
+
+    async def read(self, max_bytes: int) -> bytes:
+        """Read the whole body.
+
+        Raises:
+            Problem: when the body is larger than ``max_bytes``.
+        """
+        if self.is_ended:
+            return b""
+        chunks: list[bytes] = []
+        async for chunk in self.stream():
+            chunks.append(chunk)
+            if self.size > max_bytes:
+                raise Problem(
+                    413,
+                    "The body is too large",
+                    f"at most {max_bytes} bytes with an Idempotency-Key",
+                )
+        return b"".join(chunks)
+
+    async def stream(self) -> AsyncIterator[bytes]:
+        """Yield the body in chunks as they arrive."""
+        while not self.is_ended:
+            message = await self.receive()
+            if message["type"] != "http.request":
+                raise ClientDisconnectedError
+            chunk = message.get("body", b"")
+            self.size += len(chunk)
+            if self.size > self.max_bytes:
+                self.rejection = Problem(
+                    413,
+                    "The body is too large",
+                    f"at most {self.max_bytes} bytes",
+                    Outcome.UNKNOWN,
+                )
+                raise self.rejection
+            if chunk:
+                yield chunk
+            if not message.get("more_body"):
+                self.is_ended = True
+                self.fully_read.set()
+
+    async def wait_disconnected(self) -> None:
+        """Wait until the client closes its connection.
+
+        Waits for the end of the body first, since a body and a disconnect are
+        received from the same ASGI channel.
+        """
+        await self.fully_read.wait()
+        while (await self.receive())["type"] != "http.disconnect":
+            pass
+
+
+@contextlib.asynccontextmanager
+async def cancel_on_disconnect(
+    body: RequestBody, response: ClientResponse
+) -> AsyncIterator[None]:
+    """Cancel the enclosed block when the client closes its connection.
+
+    Raises:
+        ClientDisconnectedError: when the block was cancelled for that reason.
+    """
+    task = asyncio.current_task()
+    assert task is not None
+    disconnected = False
+
+    async def watch() -> None:
+        nonlocal disconnected
+        await body.wait_disconnected()
+        if not response.is_ended:
+            disconnected = True
+            task.cancel()
+
+    watcher = asyncio.create_task(watch())
+    try:
+        yield
+    except asyncio.CancelledError:
+        if not disconnected:
+            raise
+        task.uncancel()
+        raise ClientDisconnectedError from None
+    finally:
+        watcher.cancel()
