A site of processes whose store comes back from a copy

wigeongw serve, three zones under load: fences move after the copy, the store comes back, an upstream restarts cold.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,8 +1,9 @@
 """A stand-in for the platform: a store and a host list that lags behind.
 
 The store implements the calls of the etcd v3 JSON gateway that wigeongw uses.
-Paths below ``/control/`` inject faults, set the host list, end all leases and
-count store calls; they work also while the store is down.
+Paths below ``/control/`` inject faults, set the host list, end all leases,
+bring the store back from a copy and count store calls; they work also while
+the store is down.
 """
 
 import argparse
@@ -52,6 +53,7 @@
         lag_ms: Time between a change of the host list and its publication,
             in milliseconds.
         list_down: Whether requests for the host list fail.
+        copy: The copy that the store can come back from.
     """
 
     def __init__(self, lag_ms: float) -> None:
@@ -59,6 +61,7 @@
         self.listing = HostListing()
         self.lag_ms = lag_ms
         self.list_down = False
+        self.copy = self.store.copy()
 
     def app(self) -> web.Application:
         """Return the web application with all routes."""
@@ -75,6 +78,8 @@
                 web.post("/control/hosts", self.set_hosts),
                 web.post("/control/faults", self.set_faults),
                 web.post("/control/lapse", self.expire_leases),
+                web.post("/control/copy", self.copy_store),
+                web.post("/control/restore", self.restore_store),
                 web.get("/control/calls", self.get_calls),
             ]
         )
@@ -206,6 +211,16 @@
         await self.store.expire_all_leases()
         return web.json_response({})
 
+    async def copy_store(self, request: web.Request) -> web.Response:
+        """Keep a copy of the store."""
+        self.copy = self.store.copy()
+        return web.json_response({})
+
+    async def restore_store(self, request: web.Request) -> web.Response:
+        """Bring the store back from the copy."""
+        self.store.restore(self.copy)
+        return web.json_response({})
+
     async def get_calls(self, request: web.Request) -> web.Response:
         """Return the number of store calls by kind."""
         return web.json_response(self.store.calls)
--- a/standins/site_processes.py
+++ b/standins/site_processes.py
@@ -245,6 +245,14 @@
         """End all leases in the store at once."""
         await self.post(f"http://{self.platform_address}/control/lapse", {})
 
+    async def copy_store(self) -> None:
+        """Keep a copy that the store can come back from."""
+        await self.post(f"http://{self.platform_address}/control/copy", {})
+
+    async def restore_store(self) -> None:
+        """Bring the store back from the copy."""
+        await self.post(f"http://{self.platform_address}/control/restore", {})
+
     async def publish(self, text: str) -> Revision:
         """Publish settings as an operator does, without notifying hosts."""
         current = await revisions.read_current_revision(self.store, PREFIX)
