--- a/soak/site.py
+++ b/soak/site.py
@@ -125,11 +125,9 @@
         """
         if self.process is None or not self.is_running:
             return False
-        path = pathlib.Path(f"/proc/{self.process.pid}/status")
-        lines = path.read_text(encoding="utf-8").splitlines()
         masks = [
             line.split()[1]
-            for line in lines
+            for line in self._status_lines()
             if line.startswith(SIGNAL_MASK_FIELDS)
         ]
         return any(int(mask, 16) >> (number - 1) & 1 for mask in masks)
@@ -141,14 +139,22 @@
         """
         if self.process is None or not self.is_running:
             return 0
-        path = pathlib.Path(f"/proc/{self.process.pid}/status")
-        try:
-            lines = path.read_text(encoding="utf-8").splitlines()
-        except ProcessLookupError:
-            return 0
+        lines = self._status_lines()
         sizes = [ln.split()[1] for ln in lines if ln.startswith("VmHWM:")]
         return int(sizes[0]) * BYTES_PER_KIB if sizes else 0
 
+    def _status_lines(self) -> list[str]:
+        """Return the status of the process; nothing when it is gone.
+
+        It may be gone although its exit code is not known yet.
+        """
+        assert self.process is not None
+        path = pathlib.Path(f"/proc/{self.process.pid}/status")
+        try:
+            return path.read_text(encoding="utf-8").splitlines()
+        except (FileNotFoundError, ProcessLookupError):
+            return []
+
     async def wait(self) -> int:
         """Wait for the process to end and return its exit code."""
         assert self.process is not None
