A revision in the store counts whatever clock its operator had

What callers would see: after settings had replaced lost ones, a revision of an operator whose clock is late was ignored for good by wigeongw serve.

Fix: it applies to revisions of other hosts only. The test of lost settings failed with such a revision before.

--- a/wigeongw/daemon/site_tracker.py
+++ b/wigeongw/daemon/site_tracker.py
@@ -197,16 +197,19 @@
             return self.revision
         return None
 
-    def on_revision(self, revision: Revision) -> int:
+    def on_revision(self, revision: Revision, is_stored: bool = False) -> int:
         """Put a revision in force if it is newer and valid.
 
-        Upstream states of availability zones that the revision takes out of
-        service are dropped.
+        Args:
+            revision: the revision.
+            is_stored: whether it comes from the store and not from a host.
 
         Returns:
             The number of the revision in force afterwards.
         """
-        if revision.number <= self.site.revision or self._is_lost(revision):
+        if revision.number <= self.site.revision:
+            return self.site.revision
+        if not is_stored and self._may_be_lost(revision):
             return self.site.revision
         return self._put_in_force(revision)
 
@@ -223,8 +226,8 @@
             self.has_replaced_lost = True
             self._put_in_force(revision)
 
-    def _is_lost(self, revision: Revision) -> bool:
-        """Return whether a host may have kept a revision that was lost."""
+    def _may_be_lost(self, revision: Revision) -> bool:
+        """Return whether the store may have lost another host's revision."""
         return (
             self.has_replaced_lost
             and self.revision is not None
@@ -234,6 +237,9 @@
     def _put_in_force(self, revision: Revision) -> int:
         """Put a revision in force if it is valid.
 
+        Upstream states of availability zones that the revision takes out of
+        service are dropped.
+
         Returns:
             The number of the revision in force afterwards.
         """
--- a/wigeongw/daemon/store_return_test.py
+++ b/wigeongw/daemon/store_return_test.py
@@ -248,6 +248,10 @@
             await self.publish(3, 1_005.0)
             await asyncio.sleep(READING_S)
             self.assertEqual(self.lifetimes(), {1_005.0})
+            # The clock of this operator is late.
+            await self.publish(4, 1_000.5)
+            await asyncio.sleep(READING_S)
+            self.assertEqual(self.lifetimes(), {1_000.5})
 
         self.play(scenario)
 
--- a/wigeongw/daemon/store_sync.py
+++ b/wigeongw/daemon/store_sync.py
@@ -282,7 +282,7 @@
     def _apply_settings(self, raw: bytes) -> None:
         revision = self._decode_settings(raw)
         if revision is not None:
-            self.site_tracker.on_revision(revision)
+            self.site_tracker.on_revision(revision, is_stored=True)
 
     def _replace_lost_settings(self, snapshot: Snapshot) -> None:
         """Put settings in force that replace ones that the store lost."""
