A cold upstream beside a warm one is offered requests

What callers saw: nothing by then.

Cause: holders reuse the permits of warm upstreams and ask for no others while these suffice, so the grantor has no ask to give the cold upstream's slot to.

Fix: while a cold upstream has room and no ask is queued, the grantor revokes the permits of one holder for one warm upstream, in turn, at most every 50 ms. The ask that follows is granted at the least utilized upstream. A permit for a cold upstream is used once, as before, so its limit holds.

--- a/wigeongw/decisions/grantor.py
+++ b/wigeongw/decisions/grantor.py
@@ -32,6 +32,8 @@
 from wigeongw.decisions.messages import Revoke
 from wigeongw.decisions.messages import ToHolder
 from wigeongw.decisions.messages import Verdict
+from wigeongw.decisions.permit_recall import next_recall
+from wigeongw.decisions.permit_recall import Recall
 from wigeongw.decisions.rate_limit import GrantTerms
 from wigeongw.decisions.rate_limit import LimitGrantor
 from wigeongw.settings.schema import ColdStartSettings
@@ -39,6 +41,7 @@
 
 PRESSURE_INTERVAL_MS = 10.0
 EXPIRY_CHECK_INTERVAL_MS = 50.0
+RECALL_INTERVAL_MS = 50.0
 # Low bits of a permit number; the high bits hold the grantor's incarnation.
 SERIAL_BITS = 32
 
@@ -85,6 +88,8 @@
         self.last_permit_number = takeover.incarnation << SERIAL_BITS
         self.pressure_sent_at = float("-inf")
         self.expiry_checked_at = float("-inf")
+        self.recall_checked_at = float("-inf")
+        self.last_recall: Recall | None = None
         self.holders: set[str] = set()
 
     # Updates of settings, upstreams and fences
@@ -251,6 +256,9 @@
     def tick(self, now: float) -> list[ToHolder]:
         """Reclaim expired permits, drop expired asks and issue permits.
 
+        If a cold upstream could take a request and nobody asks, one holder is
+        told to ask again.
+
         The slot of an expired permit is free at once if the upstream is
         warm. If it is cold, the slot stays taken until the deadline of the
         permit's request has passed.
@@ -262,7 +270,7 @@
             ]:
                 self._free_slot(self.permits.pop(number))
             self.queue.remove_expired(now)
-        return self._grant_queued(now)
+        return self._grant_queued(now) + self._recall_for_cold(now)
 
     def next_to_measure(self, before: float) -> Upstream | None:
         """Return the upstream whose load was checked the longest ago.
@@ -476,6 +484,35 @@
         pressure = Pressure(self.pool, self.queue.oldest_wait_ms(now))
         return [ToHolder(h, pressure) for h in sorted(permit_holders)]
 
+    def _recall_for_cold(self, now: float) -> list[ToHolder]:
+        """Return a revocation if a cold upstream waits for requests.
+
+        At most once per RECALL_INTERVAL_MS.
+        """
+        if self.queue or not self.is_open:
+            return []
+        if now - self.recall_checked_at < RECALL_INTERVAL_MS:
+            return []
+        self.recall_checked_at = now
+        if all(s.ramp.warm for s in self._available_upstreams(now)):
+            return []
+        held = (
+            Recall(p.holder, p.upstream)
+            for p in self.permits.values()
+            if p.holder in self.holders and self._is_warm(p.upstream)
+        )
+        chosen = next_recall(held, self.last_recall)
+        if chosen is None:
+            return []
+        self.last_recall = chosen
+        revoke = Revoke(self.pool, chosen.upstream)
+        return [ToHolder(chosen.holder, revoke)]
+
+    def _is_warm(self, name: str) -> bool:
+        """Return whether an upstream of the pool is warm."""
+        tracked = self.upstreams.get(name)
+        return tracked is not None and tracked.ramp.warm
+
     def _available_upstreams(self, now: float) -> list[TrackedUpstream]:
         """Return the upstreams with a slot that may be granted now."""
         may_grant_cold = self._may_grant_cold(now)
