record: a request's id leads to the faults of its host before it

That its host could not read an entry, or had lost the store, stood in lines without the id.

The last line of each such kind that the request's hosts wrote before it is printed as well: unreadable entries however old, faults that are over for a minute. A return of the store from a copy was printed so before; it is one kind of several now.

--- a/soak/site.py
+++ b/soak/site.py
@@ -26,6 +26,7 @@
 from soak.run_history import RunHistory
 from soak.upstreams import SoakUpstream
 from standins.free_ports import free_address
+from standins.free_ports import free_port
 from wigeongw.core.clock import MS_PER_S
 from wigeongw.core.site import HostConfig
 from wigeongw.core.site import SiteLimits
@@ -66,6 +67,7 @@
             peer=free_address(),
             contact=free_address(),
             bounds=SiteLimits(grace_ms=GRACE_PERIOD_S * MS_PER_S),
+            metrics_port=free_port(),
         )
         self.settings_file = folder / f"{name}.json"
         self.log_file = folder / f"{name}.log"
@@ -102,6 +104,7 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 str(START_SCRIPT),
+                str(self.host_config.metrics_port),
                 env={
                     **os.environ,
                     program.SETTINGS_PATH_VARIABLE: str(self.settings_file),
--- a/wigeongw/gateway/finding_record_test.py
+++ b/wigeongw/gateway/finding_record_test.py
@@ -3,9 +3,11 @@
 Each of these failures had no line of its own, or none that named the cause.
 """
 
+import asyncio
 from dataclasses import replace
 import os
 import pathlib
+import re
 import tempfile
 import unittest
 
@@ -13,15 +15,19 @@
 from typer.testing import CliRunner
 
 from wigeongw.commands import main
-from wigeongw.commands import record
+from wigeongw.commands.record_context import LogLine
+from wigeongw.commands.record_context import read_line
 from wigeongw.gateway.host_case import HostCase
 from wigeongw.gateway.host_case import SIGNATURE_HEADER
+from wigeongw.ports.catalog import TargetGone
 
 TIMEOUT_MS = 500.0
 HEAD = f"HTTP/1.1 200 OK\r\n{SIGNATURE_HEADER}\r\n".encode()
 LONG_START = HEAD + b"Content-Length: 1000000000000\r\n\r\n" + b"x" * 1_100_000
 MEMORY_BYTES = 10_000_000
 UPLOAD_BYTES = 5_000_000
+# Entries may expire in an outage of this length.
+OUTAGE_S = 4.0
 
 
 class FindingRecordTest(HostCase):
@@ -34,15 +40,18 @@
         self.host.log.fd = fd
         await self.publish_all(TIMEOUT_MS)
 
-    def lines_of(self, request_id: str) -> list[dict[str, str]]:
-        """Return the fields of what ``wigeongw record`` prints of an id."""
+    def lines_of(self, request_id: str) -> list[LogLine]:
+        """Return what ``wigeongw record`` prints of an id."""
         self.host.log.flush()
         arguments = ["record", str(self.path), "--request", request_id]
         result = CliRunner().invoke(main.app, arguments)
-        return [record.parse(line) for line in result.output.splitlines()]
+        read = (read_line(line) for line in result.output.splitlines())
+        return [line for line in read if line is not None]
 
     def expect_reason(self, request_id: str, reason: str) -> None:
-        reasons = [line.get("reason") for line in self.lines_of(request_id)]
+        reasons = [
+            line.fields.get("reason") for line in self.lines_of(request_id)
+        ]
         self.assertIn(reason, reasons)
 
     async def fetch_cut_body(self, request_id: str, *script: bytes) -> None:
@@ -60,6 +69,29 @@
         await self.fetch_cut_body("broken", LONG_START, b"CLOSE")
         self.expect_reason("broken", "body_broken")
 
+    async def test_request_at_a_removed_upstream_names_no_outage(self) -> None:
+        """Its lines showed the upstream, not why it was still in use."""
+        self.catalog.down = True
+        await asyncio.sleep(OUTAGE_S)
+        self.assertTrue(self.has_event("lost"))
+        self.catalog.down = False
+        await self.until(lambda: self.has_event("regained"))
+        await self.catalog.publish(TargetGone("one"))
+        await self.send("/fetch/x", request_id="removed")
+        lines = self.lines_of("removed")
+        self.assertEqual(
+            [line.fields.get("event") for line in lines[:2]],
+            ["lost", "regained"],
+        )
+        self.assertEqual(lines[1].fields["was_away"], "1")
+
+    def has_event(self, event: str) -> bool:
+        """Return whether the host has logged an event of the store."""
+        self.host.log.flush()
+        lines = self.path.read_text(encoding="utf-8").splitlines()
+        pattern = f"store: .*event={event} "
+        return any(re.search(pattern, f"{line} ") for line in lines)
+
     async def test_refused_upload_names_no_cause(self) -> None:
         state = self.host.state
         state.host_config = replace(
