A test counts as failed once, whatever its subtests

What was seen: in a red run the summary said -1 passed, as each failed subtest counted as a test of its own. An entry of KNOWN-RED.txt would have matched no test with subtests, as their ids differ.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -59,6 +59,15 @@
     return suite
 
 
+def failed_tests(result: unittest.TestResult) -> set[str]:
+    """Return the ids of the tests that failed.
+
+    A test counts once, however many of its subtests failed.
+    """
+    failed = (test for test, _ in result.failures + result.errors)
+    return {getattr(test, "test_case", test).id() for test in failed}
+
+
 def main() -> int:
     """Run the tests that the command line names and print a summary last.
 
@@ -68,7 +77,7 @@
     """
     runner = unittest.TextTestRunner(verbosity=2, stream=sys.stdout)
     result = runner.run(build_suite(sys.argv[1:]))
-    failed = {test.id() for test, _ in result.failures + result.errors}
+    failed = failed_tests(result)
     known_red = read_known_red()
     for name in sorted(failed & known_red):
         print(f"known red, passed over: {name}")
