Tests of leases in serve after an end or a return of the store

Neither of two rules had a test of its own. Without the reading before a new lease counts, a host relied on a fence that had a new owner; without the new lease after a return, hosts went on under numbers that the store had given out again. Each test failed with its rule taken out of daemon/store_sync.py.

--- a/wigeongw/daemon/store_return_test.py
+++ b/wigeongw/daemon/store_return_test.py
@@ -131,6 +131,7 @@
         self.store = MemoryStore(VirtualClock(loop))
         self.owner_counts: list[int] = []
         await self.publish(1, 1_001.0)
+        self.copy_without_leases = self.store.copy()
         self.hosts = [SyncedHost(me, self.store) for me in HOSTS]
         for host in self.hosts:
             host.start(self.stack)
@@ -255,6 +256,58 @@
 
         self.play(scenario)
 
+    def test_lease_number_that_was_given_out_again_backs_fences(self) -> None:
+        """Its owner's end would have released the fences of this host."""
+
+        async def scenario() -> None:
+            await self.expect_one_owner()
+            before = {host.sync.lease_id for host in self.hosts}
+            self.store.restore(self.copy_without_leases)
+            given_out = {await self.store.grant_lease(1e6) for _ in self.hosts}
+            self.assertEqual(given_out, before)
+            await self.expect_one_owner()
+            leases = {host.sync.lease_id for host in self.hosts}
+            self.assertEqual(leases & given_out, set())
+
+        self.play(scenario)
+
+
+class NewLeaseTest(unittest.TestCase):
+    """One host whose lease has ended while it did not reach the store."""
+
+    def test_host_relies_on_a_fence_that_has_a_new_owner(self) -> None:
+        """A new lease backed the fences that the host had known before."""
+        with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+            runner.run(self.play())
+
+    async def play(self) -> None:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualTimeLoop)
+        store = MemoryStore(VirtualClock(loop))
+        base = await revisions.read_current_revision(store, PREFIX)
+        revision = revisions.next_revision(
+            base.revision, SETTINGS.format(1_001.0), "x", "y", 0.0
+        )
+        await revisions.publish(store, PREFIX, base, revision)
+        host = SyncedHost(HOSTS[0], store)
+        async with AsyncExitStack() as stack:
+            host.start(stack)
+            await asyncio.sleep(RECOVERY_S)
+            self.assertTrue(host.owns_pool())
+        await store.expire_all_leases()
+        key = f"{PREFIX}{FENCE_PREFIX}{POOL}"
+        await store.commit((Put(key, HOSTS[1].name.encode(), 0),))
+        await asyncio.sleep(RECOVERY_S)
+        self.assertFalse(host.owns_pool())
+        async with AsyncExitStack() as stack:
+            # The host's other tasks have not read the store again yet.
+            task = asyncio.create_task(host.sync.run_lease())
+            stack.callback(task.cancel)
+            for _ in range(round(RECOVERY_S / SAMPLE_S)):
+                await asyncio.sleep(SAMPLE_S)
+                self.assertFalse(host.owns_pool())
+            self.assertNotEqual(host.sync.lease_id, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
