What a grantor learns of one upstream is a module of its own

No change of behavior; the drawn scenarios of permits_test hold, and each safety rule is still needed.

--- a/wigeongw/decisions/grantor.py
+++ b/wigeongw/decisions/grantor.py
@@ -12,6 +12,7 @@
 
 from wigeongw.core.records import HostState
 from wigeongw.core.records import Upstream
+from wigeongw.decisions import upstream_tracking
 from wigeongw.decisions import warm_up
 from wigeongw.decisions.ask_queue import AskQueue
 from wigeongw.decisions.ask_queue import QueuedAsk
@@ -166,16 +167,8 @@
     def views(self) -> list[UpstreamView]:
         """Return the state of each upstream to announce in heartbeats."""
         return [
-            UpstreamView(
-                self.pool,
-                name,
-                tracked.ramp.warm,
-                tracked.ramp.limit,
-                tracked.start,
-                tracked.seen_at,
-                tracked.rate_limit.terms.per_s if tracked.rate_limit else None,
-            )
-            for name, tracked in self.upstreams.items()
+            upstream_tracking.view_of(self.pool, tracked)
+            for tracked in self.upstreams.values()
         ]
 
     # Messages from holders
@@ -303,7 +296,7 @@
         if tracked is None:
             return []
         tracked.seen_at = now
-        return self._note_start_identity(tracked, start)
+        return self._note_start(tracked, start)
 
     # Internals
 
@@ -312,18 +305,14 @@
     ) -> TrackedUpstream:
         """Return the initial state of an upstream from its last view."""
         view = self.known.get(upstream.name)
-        ramp = warm_up.cold(slots, self.cold_start)
-        start = ""
-        seen_at = 0.0
-        if view is not None and view.pool == self.pool:
-            start = view.start
-            seen_at = view.seen_at
-            if view.warm:
-                ramp = warm_up.warm(slots)
-        in_use = sum(
+        if view is not None and view.pool != self.pool:
+            view = None
+        tracked = upstream_tracking.track(
+            upstream, slots, view, self.cold_start
+        )
+        tracked.in_use = sum(
             p.upstream == upstream.name for p in self.permits.values()
         )
-        tracked = TrackedUpstream(upstream, ramp, start, in_use, seen_at)
         if view is not None and view.rate_limit_per_s is not None:
             terms = self._grant_terms(view.rate_limit_per_s)
             tracked.rate_limit = LimitGrantor(terms, False, now)
@@ -336,28 +325,6 @@
         """
         return GrantTerms(per_s, 1, may_be_replaced=not self.fenced)
 
-    def _note_rate_limit(
-        self, tracked: TrackedUpstream, limit: LimitReport, now: float
-    ) -> list[ToHolder]:
-        """Apply what a response said about the upstream's rate limit.
-
-        Returns:
-            Revocations of the permits that could be used more than once.
-        """
-        if limit.per_s is None:
-            tracked.ended_rate_limit = tracked.rate_limit
-            tracked.rate_limit = None
-            return []
-        terms = self._grant_terms(limit.per_s)
-        if tracked.rate_limit is not None:
-            tracked.rate_limit.set_terms(terms, now)
-            return []
-        tracked.rate_limit = tracked.ended_rate_limit
-        if tracked.rate_limit is None:
-            tracked.rate_limit = LimitGrantor(terms, True, now)
-        tracked.rate_limit.set_terms(terms, now)
-        return self._revocations(tracked.upstream.name)
-
     def _is_expired(self, permit: Permit, now: float) -> bool:
         """Return whether the slot of a permit can be reclaimed."""
         if now < permit.expires_at:
@@ -380,48 +347,42 @@
             return []
         tracked.seen_at = now
         tracked.checked_at = now
-        before = tracked.ramp
-        if returned.verdict is Verdict.GOOD:
-            tracked.ramp = warm_up.after_success(
-                before, self.cold_start, returned.served_ms, self.baseline_ms
-            )
-            if before.warm or not self.baseline_ms:
-                self.baseline_ms = warm_up.update_baseline_ms(
-                    self.baseline_ms, returned.served_ms
-                )
-        elif returned.verdict is Verdict.SHED:
-            tracked.ramp = warm_up.after_shed(
-                before, self.cold_start, now, tracked.in_use
-            )
-        elif returned.verdict is Verdict.UNREACHABLE:
-            tracked.ramp = warm_up.after_unreachable(
-                before, self.cold_start, now
+        was_warm = tracked.ramp.warm
+        tracked.ramp = upstream_tracking.ramp_after(
+            tracked, returned, self.cold_start, self.baseline_ms, now
+        )
+        is_usual = was_warm or not self.baseline_ms
+        if returned.verdict is Verdict.GOOD and is_usual:
+            self.baseline_ms = warm_up.update_baseline_ms(
+                self.baseline_ms, returned.served_ms
             )
-        elif returned.verdict is Verdict.RESTARTED:
-            tracked.ramp = warm_up.cold(before.slots, self.cold_start)
-        messages = self._note_start_identity(tracked, returned.start)
+        messages = self._note_start(tracked, returned.start)
         if returned.limit is not None:
             messages.extend(
                 self._note_rate_limit(tracked, returned.limit, now)
             )
-        if before.warm and not tracked.ramp.warm:
+        if was_warm and not tracked.ramp.warm:
             messages.extend(self._revocations(returned.upstream))
         return messages
 
-    def _note_start_identity(
+    def _note_start(
         self, tracked: TrackedUpstream, start: str
     ) -> list[ToHolder]:
         """Turn an upstream cold if its start identity changed."""
-        if not start or start == tracked.start:
+        if not upstream_tracking.note_start(tracked, start, self.cold_start):
             return []
-        previous = tracked.start
-        tracked.start = start
-        if not previous:
+        return self._revocations(tracked.upstream.name)
+
+    def _note_rate_limit(
+        self, tracked: TrackedUpstream, limit: LimitReport, now: float
+    ) -> list[ToHolder]:
+        """Apply what a response said about the upstream's rate limit."""
+        terms = None
+        if limit.per_s is not None:
+            terms = self._grant_terms(limit.per_s)
+        if not upstream_tracking.note_rate_limit(tracked, terms, now):
             return []
-        tracked.rate_limit = None
-        was_warm = tracked.ramp.warm
-        tracked.ramp = warm_up.cold(tracked.ramp.slots, self.cold_start)
-        return self._revocations(tracked.upstream.name) if was_warm else []
+        return self._revocations(tracked.upstream.name)
 
     def _revocations(self, upstream: str) -> list[ToHolder]:
         """Return a message to each holder to drop an upstream's permits."""
