--- a/wigeongw/daemon/dispatcher.py
+++ b/wigeongw/daemon/dispatcher.py
@@ -5,21 +5,19 @@
 client unchanged.
 """
 
-import asyncio
-from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Sequence
-from dataclasses import dataclass
 from dataclasses import replace
 
 from wigeongw.core.clock import Clock
-from wigeongw.core.clock import seconds
 from wigeongw.core.metrics import Metrics
 from wigeongw.core.records import Outcome
 from wigeongw.core.records import Upstream
 from wigeongw.daemon.decision_log import DecisionLog
 from wigeongw.daemon.decision_log import ROUTE
 from wigeongw.daemon.errors import Problem
+from wigeongw.daemon.exchange import Exchange
+from wigeongw.daemon.exchange import Request
 from wigeongw.daemon.permit_manager import NotAdmittedError
 from wigeongw.daemon.permit_manager import PermitManager
 from wigeongw.decisions import retry
@@ -29,20 +27,12 @@
 from wigeongw.decisions.sharing import Held
 from wigeongw.decisions.sharing import Refusal
 from wigeongw.decisions.sharing import Wanted
-from wigeongw.ports.errors import BodyError
 from wigeongw.ports.errors import ShedError
 from wigeongw.ports.errors import UpstreamError
 from wigeongw.ports.upstream import Call
-from wigeongw.ports.upstream import Headers
-from wigeongw.ports.upstream import Reply
 from wigeongw.ports.upstream import UpstreamClient
 from wigeongw.settings.schema import RetrySettings
 
-# Larger response bodies are streamed.
-MAX_BUFFERED_RESPONSE_BYTES = 65_536
-BODILESS_STATUSES = frozenset((204, 304))
-MIN_SERVER_ERROR_STATUS = 500
-
 REFUSAL_STATUSES = {
     Refusal.QUEUE_FULL: 503,
     Refusal.DEADLINE: 504,
@@ -52,81 +42,6 @@
 RETRY_AFTER_S = 1
 
 
-@dataclass(frozen=True, slots=True)
-class Request:
-    """A client request, ready to be sent to an upstream.
-
-    Attributes:
-        identity: unique identity of the request.
-        target: path and query.
-        headers: end-to-end headers only.
-        body: bytes, which a retry can send again, or a stream, which can be
-            sent only once; None for an empty body.
-        ends_at: deadline in monotonic milliseconds.
-    """
-
-    identity: str
-    service: str
-    method: str
-    target: str
-    headers: Headers
-    body: bytes | AsyncIterator[bytes] | None
-    ends_at: float
-
-    @property
-    def is_replayable(self) -> bool:
-        """Whether a retry can send the body again."""
-        return self.body is None or isinstance(self.body, bytes)
-
-
-class Exchange:
-    """A response whose head has arrived, and the permit it occupies.
-
-    Attributes:
-        reply: response of the upstream.
-        held: permit under which the request was sent.
-        release_permit: called once, on close.
-        buffered_body: complete body of a small response, else None.
-        elapsed_ms: time from sending the request to the response head, or to
-            the end of a buffered body.
-        is_open: whether the permit is still occupied.
-    """
-
-    def __init__(
-        self,
-        reply: Reply,
-        held: Held,
-        release_permit: Callable[[Verdict], None],
-    ) -> None:
-        self.reply = reply
-        self.held = held
-        self.release_permit = release_permit
-        self.buffered_body: bytes | None = None
-        self.elapsed_ms = 0.0
-        self.is_open = True
-
-    def body(self) -> AsyncIterator[bytes]:
-        """Stream a body that was not buffered."""
-        return self.reply.body()
-
-    async def close(self, is_complete: bool) -> None:
-        """Close the response and release the permit.
-
-        Calls after the first one have no effect.
-
-        Args:
-            is_complete: whether the whole body was received.
-        """
-        if not self.is_open:
-            return
-        self.is_open = False
-        await self.reply.close()
-        failed = (
-            self.reply.status >= MIN_SERVER_ERROR_STATUS or not is_complete
-        )
-        self.release_permit(Verdict.FAILED if failed else Verdict.GOOD)
-
-
 def always_allowed() -> bool:
     """Allow every attempt; the default for ``may_send``."""
     return True
@@ -293,7 +208,7 @@
             exchange = Exchange(reply, held, release_permit)
             if reply.leaving:
                 self.on_upstream_leaving(held.upstream)
-            await self._buffer_small_body(request, exchange)
+            await exchange.buffer_small_body(request, self.clock.now())
             exchange.elapsed_ms = self.clock.now() - started_at
             handed_over = True
             self.metrics.time(state.head_ms, "upstream", held.upstream)
@@ -335,55 +250,6 @@
             max(1.0, request.ends_at - self.clock.now()),
         )
 
-    async def _buffer_small_body(
-        self, request: Request, exchange: Exchange
-    ) -> None:
-        """Buffer a small response body.
-
-        A response that breaks off while it is buffered can still be retried,
-        because none of it has been sent to the client.
-
-        Raises:
-            UpstreamError: when the body breaks off, its length differs from
-                Content-Length, or its end cannot be detected.
-        """
-        reply = exchange.reply
-        size = _content_length(reply.headers)
-        has_no_body = (
-            request.method == "HEAD" or reply.status in BODILESS_STATUSES
-        )
-        if has_no_body:
-            size = 0
-        if size is None:
-            if not _is_chunked(reply.headers):
-                await reply.close()
-                raise UpstreamError(
-                    "answer without a length",
-                    Outcome.UNKNOWN,
-                    Verdict.FAILED,
-                )
-            return
-        if size > MAX_BUFFERED_RESPONSE_BYTES:
-            return
-        remaining_ms = max(0.0, request.ends_at - self.clock.now())
-        try:
-            async with asyncio.timeout(seconds(remaining_ms)):
-                chunks = [chunk async for chunk in reply.body()]
-        except (BodyError, TimeoutError) as error:
-            await reply.close()
-            raise UpstreamError(
-                f"answer without its end: {error!r}",
-                Outcome.UNKNOWN,
-                Verdict.FAILED,
-            ) from error
-        body = b"".join(chunks)
-        if len(body) != size:
-            await reply.close()
-            raise UpstreamError(
-                "answer of another length", Outcome.UNKNOWN, Verdict.FAILED
-            )
-        exchange.buffered_body = body
-
     def _find_upstream(self, held: Held) -> Upstream:
         upstream = self.permit_manager.upstreams.get(held.upstream)
         if upstream is None:
@@ -490,17 +356,3 @@
     if held.cold:
         return "cold"
     return "rate-limited" if held.single_use else "permit"
-
-
-def _content_length(headers: Headers) -> int | None:
-    for name, value in headers:
-        if name.lower() == "content-length" and value.isdigit():
-            return int(value)
-    return None
-
-
-def _is_chunked(headers: Headers) -> bool:
-    return any(
-        name.lower() == "transfer-encoding" and "chunked" in value.lower()
-        for name, value in headers
-    )
--- a/wigeongw/daemon/download.py
+++ b/wigeongw/daemon/download.py
@@ -18,10 +18,10 @@
 
 from wigeongw.core.clock import seconds
 from wigeongw.daemon.dispatcher import Dispatcher
-from wigeongw.daemon.dispatcher import Exchange
-from wigeongw.daemon.dispatcher import Request
 from wigeongw.daemon.errors import Problem
 from wigeongw.daemon.errors import ResponseTruncatedError
+from wigeongw.daemon.exchange import Exchange
+from wigeongw.daemon.exchange import Request
 from wigeongw.ports.errors import BodyError
 from wigeongw.ports.upstream import Headers
 
--- a/wigeongw/daemon/download_test.py
+++ b/wigeongw/daemon/download_test.py
@@ -8,11 +8,11 @@
 
 from wigeongw.core.clock import ManualClock
 from wigeongw.daemon.dispatcher import Dispatcher
-from wigeongw.daemon.dispatcher import Exchange
-from wigeongw.daemon.dispatcher import Request
 from wigeongw.daemon.download import Download
 from wigeongw.daemon.download import MAX_BODY_MS
 from wigeongw.daemon.errors import ResponseTruncatedError
+from wigeongw.daemon.exchange import Exchange
+from wigeongw.daemon.exchange import Request
 
 PIECE = b"x" * 100
 DEADLINE_MS = 500.0
--- a/wigeongw/daemon/frontend.py
+++ b/wigeongw/daemon/frontend.py
@@ -21,11 +21,11 @@
 from wigeongw.daemon.asgi import Send
 from wigeongw.daemon.client_response import ClientResponse
 from wigeongw.daemon.dispatcher import Dispatcher
-from wigeongw.daemon.dispatcher import Exchange
-from wigeongw.daemon.dispatcher import Request
 from wigeongw.daemon.download import Download
 from wigeongw.daemon.errors import Problem
 from wigeongw.daemon.errors import ResponseTruncatedError
+from wigeongw.daemon.exchange import Exchange
+from wigeongw.daemon.exchange import Request
 from wigeongw.daemon.headers import parse_headers
 from wigeongw.daemon.headers import ParsedHeaders
 from wigeongw.daemon.headers import response_headers
