--- a/wigeongw/decisions/holder.py
+++ b/wigeongw/decisions/holder.py
@@ -9,16 +9,13 @@
 
 from collections.abc import Sequence
 from dataclasses import replace
-from itertools import islice
+from itertools import count
 
 from wigeongw.decisions.floor_use import FloorUse
 from wigeongw.decisions.holder_state import BusyPermit
 from wigeongw.decisions.holder_state import IdlePermit
-from wigeongw.decisions.holder_state import PendingAsk
 from wigeongw.decisions.holder_state import PoolState
 from wigeongw.decisions.holder_state import QueuedRequest
-from wigeongw.decisions.messages import Ask
-from wigeongw.decisions.messages import Cancel
 from wigeongw.decisions.messages import Grant
 from wigeongw.decisions.messages import GrantorMessage
 from wigeongw.decisions.messages import HeldPermit
@@ -32,6 +29,7 @@
 from wigeongw.decisions.messages import Revoke
 from wigeongw.decisions.messages import ToGrantor
 from wigeongw.decisions.messages import Verdict
+from wigeongw.decisions.permit_asks import PermitAsks
 from wigeongw.decisions.sharing import Effect
 from wigeongw.decisions.sharing import Held
 from wigeongw.decisions.sharing import PoolView
@@ -50,8 +48,6 @@
 RENEWALS_PER_LIFETIME = 3.0
 GRANT_WAIT_EWMA_WEIGHT = 0.1
 LATENCY_EWMA_WEIGHT = 0.1
-# Per pool.
-MAX_PENDING_ASKS = 32
 DEADLINE_CHECK_INTERVAL_MS = 20.0
 START_INTERVAL_EWMA_WEIGHT = 0.05
 
@@ -71,7 +67,8 @@
             upstream.
         reported_at: when the last result of a kept permit was reported, by
             upstream.
-        serial: last number given to an ask, a renewal or a floor permit.
+        numbers: numbers of asks, renewals and floor permits.
+        asks: sends the asks of the queued requests.
         floor_use: limits the use of floor upstreams.
         start_interval_ms: moving average of the time between two requests
             that leave the queue.
@@ -85,7 +82,8 @@
         self.busy: dict[str, BusyPermit] = {}
         self.latency_ms: dict[str, float] = {}
         self.reported_at: dict[str, float] = {}
-        self.serial = config.incarnation << SERIAL_BITS
+        self.numbers = count((config.incarnation << SERIAL_BITS) + 1)
+        self.asks = PermitAsks(config.rules, self.numbers)
         self.floor_use = FloorUse(config.slots)
         self.deadlines_checked_at = float("-inf")
         self.last_start_at = 0.0
@@ -117,9 +115,7 @@
         full, its deadline has passed, or the queue is not expected to reach
         it before its deadline.
         """
-        if not any(
-            self._has_upstream(p, wanted.avoid) for p in self.pools.values()
-        ):
+        if not any(p.has_upstream(wanted.avoid) for p in self.pools.values()):
             return [Refuse(wanted.request, Refusal.NO_UPSTREAM)]
         if len(self.waiting) >= self.config.queue_most:
             return [Refuse(wanted.request, Refusal.QUEUE_FULL)]
@@ -204,7 +200,7 @@
             return self._on_grant(pool, message, now)
         if isinstance(message, Pressure):
             pool.note_pressure(message.queued_ms, now)
-            return self._return_idle(pool)
+            return [*pool.return_idle()]
         if isinstance(message, Revoke):
             return self._on_revoke(pool, message)
         if isinstance(message, Renewed):
@@ -231,82 +227,11 @@
         self.waiting.clear()
         return removed
 
-    # Asks and registration
-
-    def _balance_asks(self, now: float) -> list[Effect]:
-        """Send or cancel asks until each pool has the needed number.
-
-        Surplus asks are cancelled, the newest first.
-        """
-        eligible = [p for p in self.pools.values() if self._can_ask(p)]
-        if not eligible:
-            return []
-        nearest = eligible[0]
-        effects: list[Effect] = []
-        for pool in eligible:
-            needed = self._needed_asks(pool, nearest, now)
-            while len(pool.asks) > needed:
-                number, _ = pool.asks.popitem()
-                cancel = Cancel(pool.view.pool, number)
-                effects.append(self._to_grantor(pool, cancel))
-            if len(pool.asks) < needed:
-                without_ask = islice(
-                    self.waiting.values(), len(pool.asks), needed
-                )
-                effects.extend(
-                    [self._new_ask(pool, w, now) for w in without_ask]
-                )
-        return effects
-
-    def _needed_asks(
-        self, pool: PoolState, nearest: PoolState, now: float
-    ) -> int:
-        """Return how many asks should be pending at a pool.
-
-        The nearest pool gets an ask for each queued request. A farther pool
-        gets the same number if the nearest pool is under pressure and its
-        grants take longer than the extra round trip; else it gets an ask for
-        each request that has waited spill_ms longer than the extra round
-        trip. The number is at most MAX_PENDING_ASKS.
-        """
-        limit = min(len(self.waiting), MAX_PENDING_ASKS)
-        if pool is nearest:
-            return limit
-        extra_ms = pool.view.round_trip_ms - nearest.view.round_trip_ms
-        if (
-            nearest.is_under_pressure(now)
-            and nearest.grant_wait_ms >= extra_ms
-        ):
-            return limit
-        queued_before = now - self.rules.spill_ms - extra_ms
-        oldest = islice(self.waiting.values(), limit)
-        return sum(1 for w in oldest if w.queued_at <= queued_before)
-
-    def _new_ask(
-        self,
-        pool: PoolState,
-        queued: QueuedRequest,
-        now: float,
-        replaces: int = 0,
-    ) -> Effect:
-        self.serial += 1
-        wanted = queued.wanted
-        pool.asks[self.serial] = PendingAsk(now, wanted.ends_at)
-        ask = Ask(
-            pool.view.pool,
-            self.serial,
-            wanted.ends_at - now,
-            wanted.avoid,
-            replaces,
-        )
-        return self._to_grantor(pool, ask)
+    # Registration
 
     def _reset_pool(self, pool: PoolState, now: float) -> list[Effect]:
         """Drop idle permits and asks after a change of the grantor."""
-        pool.idle.clear()
-        pool.asks.clear()
-        pool.renewals.clear()
-        pool.registered = False
+        pool.forget_grantor()
         if pool.view.grantor is None:
             return []
         return [self._registration(pool, now)]
@@ -322,7 +247,7 @@
             for b in self.busy.values()
             if b.held.pool == pool.view.pool
         )
-        return self._to_grantor(pool, Register(pool.view.pool, held))
+        return pool.to_grantor(Register(pool.view.pool, held))
 
     # Messages from grantors
 
@@ -356,7 +281,7 @@
         if not self._is_usable(held, now):
             returned = Return(held.pool, held.number, held.upstream)
             return [
-                self._to_grantor(pool, returned),
+                pool.to_grantor(returned),
                 *self._balance_asks(now),
             ]
         return self._use_or_keep(pool, held, now)
@@ -371,26 +296,15 @@
         grantor.
         """
         self.floor_use.record_unreachable(upstream, now)
-        kept = [i for i in pool.idle if i.held.upstream != upstream]
-        dropped = [i for i in pool.idle if i.held.upstream == upstream]
-        pool.idle = kept
-        return [self._return_unused(pool, i.held) for i in dropped]
+        return [*pool.return_idle(upstream)]
 
     def _on_revoke(self, pool: PoolState, revoke: Revoke) -> list[Effect]:
         """Return an upstream's idle permits and void those in use."""
-        kept: list[IdlePermit] = []
-        effects: list[Effect] = []
-        for idle in pool.idle:
-            if idle.held.upstream != revoke.upstream:
-                kept.append(idle)
-                continue
-            effects.append(self._return_unused(pool, idle.held))
-        pool.idle = kept
         for request, busy in self.busy.items():
             if busy.held.upstream == revoke.upstream:
                 voided = replace(busy.held, valid_until=float("-inf"))
                 self.busy[request] = replace(busy, held=voided)
-        return effects
+        return [*pool.return_idle(revoke.upstream)]
 
     def _on_renewed(self, pool: PoolState, renewed: Renewed) -> None:
         """Extend the renewed permits from the time the renewal was sent."""
@@ -437,7 +351,7 @@
             start = self._start(queued.wanted, held)
             return [start, *self._balance_asks(now)]
         if not held.reusable or pool.is_under_pressure(now):
-            return [self._return_unused(pool, held)]
+            return [pool.return_unused(held)]
         pool.idle.append(IdlePermit(held, now))
         return []
 
@@ -479,18 +393,18 @@
         if not reusable:
             if pool.view.grantor is None:
                 return []
-            return [self._to_grantor(pool, returned)]
+            return [pool.to_grantor(returned)]
         if pool.is_under_pressure(now) and not self._has_oldest_request(
             pool, held
         ):
-            return [self._to_grantor(pool, returned)]
+            return [pool.to_grantor(returned)]
         effects = self._use_or_keep(pool, held, now)
         was_returned = any(
             isinstance(e, ToGrantor) and isinstance(e.message, Return)
             for e in effects
         )
         if was_returned:
-            return [self._to_grantor(pool, returned)]
+            return [pool.to_grantor(returned)]
         return effects + self._report_result(pool, returned, now)
 
     def _has_oldest_request(self, pool: PoolState, held: Held) -> bool:
@@ -513,7 +427,7 @@
         if now - last < REPORT_INTERVAL_MS:
             return []
         self.reported_at[returned.upstream] = now
-        return [self._to_grantor(pool, replace(returned, permit=0))]
+        return [pool.to_grantor(replace(returned, permit=0))]
 
     def _take_idle(self, wanted: Wanted, now: float) -> Held | None:
         """Remove and return the idle permit with the least expected time.
@@ -528,7 +442,7 @@
         nearest = next(iter(self.pools.values()))
         for pool in self.pools.values():
             extra_ms = pool.view.round_trip_ms - nearest.view.round_trip_ms
-            if extra_ms > nearest.grant_wait_ms and self._can_ask(nearest):
+            if extra_ms > nearest.grant_wait_ms and nearest.can_ask:
                 continue
             for idle in pool.idle:
                 if idle.held.upstream in wanted.avoid:
@@ -585,11 +499,9 @@
         """Start the oldest matching request; one at a time per upstream."""
         if any(b.held.upstream == upstream for b in self.busy.values()):
             return []
-        self.serial += 1
+        number = next(self.numbers)
         forever = float("inf")
-        held = Held(
-            self.serial, pool.view.pool, upstream, False, forever, forever
-        )
+        held = Held(number, pool.view.pool, upstream, False, forever, forever)
         queued = self._oldest_match(held)
         if queued is None or not self.floor_use.take(upstream, now):
             return []
@@ -613,7 +525,9 @@
         if now - pool.last_maintenance_at < lifetime / RENEWALS_PER_LIFETIME:
             return []
         pool.last_maintenance_at = now
-        effects = self._replace_stale_asks(pool, now)
+        effects: list[Effect] = [
+            *self.asks.replace_stale(pool, self.waiting.values(), now)
+        ]
         pool.renewals = {
             s: t for s, t in pool.renewals.items() if now - t < lifetime
         }
@@ -627,7 +541,7 @@
             if not self._is_usable(idle.held, now):
                 continue
             if now - idle.idle_since > MAX_IDLE_MS:
-                effects.append(self._return_unused(pool, idle.held))
+                effects.append(pool.return_unused(idle.held))
                 continue
             kept.append(idle)
         pool.idle = kept
@@ -638,48 +552,12 @@
             if b.held.pool == pool.view.pool
         ]
         if permit_numbers:
-            self.serial += 1
-            pool.renewals[self.serial] = now
-            renew = Renew(pool.view.pool, self.serial, tuple(permit_numbers))
-            effects.append(self._to_grantor(pool, renew))
-        return effects
-
-    def _replace_stale_asks(self, pool: PoolState, now: float) -> list[Effect]:
-        """Replace asks older than half a lifetime.
-
-        A grant is valid for one lifetime from its ask, so a grant for a
-        stale ask would be void, or nearly so. The new ask keeps the queue
-        position of the stale one.
-        """
-        if pool.view.grantor is None:
-            return []
-        max_age_ms = self.rules.lifetime_ms / 2
-        stale = [
-            n for n, a in pool.asks.items() if now - a.sent_at >= max_age_ms
-        ]
-        effects: list[Effect] = []
-        for number in stale:
-            del pool.asks[number]
-        for number, queued in zip(stale, self.waiting.values(), strict=False):
-            effects.append(self._new_ask(pool, queued, now, replaces=number))
-        return effects
-
-    def _return_idle(self, pool: PoolState) -> list[Effect]:
-        effects = [self._return_unused(pool, i.held) for i in pool.idle]
-        pool.idle.clear()
+            number = next(self.numbers)
+            pool.renewals[number] = now
+            renew = Renew(pool.view.pool, number, tuple(permit_numbers))
+            effects.append(pool.to_grantor(renew))
         return effects
 
-    def _return_unused(self, pool: PoolState, held: Held) -> Effect:
-        returned = Return(held.pool, held.number, held.upstream)
-        return self._to_grantor(pool, returned)
-
-    def _to_grantor(
-        self,
-        pool: PoolState,
-        message: Ask | Cancel | Return | Renew | Register,
-    ) -> ToGrantor:
-        return ToGrantor(pool.view.grantor or "", message)
-
     def _is_usable(self, held: Held, now: float) -> bool:
         """Return whether a request may start with a permit now."""
         pool = self.pools.get(held.pool)
@@ -689,13 +567,11 @@
             held.upstream in pool.view.upstreams
         )
 
-    def _can_ask(self, pool: PoolState) -> bool:
-        return pool.view.grantor is not None and self._has_upstream(pool)
-
-    @staticmethod
-    def _has_upstream(pool: PoolState, avoid: tuple[str, ...] = ()) -> bool:
-        names = pool.view.upstreams
-        return pool.view.is_open and any(n not in avoid for n in names)
+    def _balance_asks(self, now: float) -> list[Effect]:
+        """Send or cancel asks until each pool has the needed number."""
+        return [
+            *self.asks.balance(self.pools.values(), self.waiting.values(), now)
+        ]
 
     def _refuse_expired(self, now: float) -> list[Effect]:
         """Refuse queued requests whose deadline has passed."""
--- a/wigeongw/decisions/holder_state.py
+++ b/wigeongw/decisions/holder_state.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from wigeongw.decisions.messages import HolderMessage
+from wigeongw.decisions.messages import Return
+from wigeongw.decisions.messages import ToGrantor
 from wigeongw.decisions.sharing import Held
 from wigeongw.decisions.sharing import PoolView
 from wigeongw.decisions.sharing import Wanted
@@ -103,3 +106,42 @@
         """
         self.pressure_until = now + PRESSURE_TTL_MS
         self.oldest_ask_queued_at = now - queued_ms
+
+    @property
+    def can_ask(self) -> bool:
+        """Whether the pool has a grantor and an upstream in service."""
+        return self.view.grantor is not None and self.has_upstream()
+
+    def has_upstream(self, avoid: tuple[str, ...] = ()) -> bool:
+        """Return whether the pool has an upstream in service besides some."""
+        names = self.view.upstreams
+        return self.view.is_open and any(n not in avoid for n in names)
+
+    def to_grantor(self, message: HolderMessage) -> ToGrantor:
+        """Address a message to the pool's grantor."""
+        return ToGrantor(self.view.grantor or "", message)
+
+    def return_unused(self, held: Held) -> ToGrantor:
+        """Return a permit that no request has used."""
+        return self.to_grantor(Return(held.pool, held.number, held.upstream))
+
+    def return_idle(self, upstream: str | None = None) -> list[ToGrantor]:
+        """Return the idle permits, of one upstream or of all."""
+        returned = [
+            idle
+            for idle in self.idle
+            if upstream in (None, idle.held.upstream)
+        ]
+        self.idle = [
+            idle
+            for idle in self.idle
+            if upstream not in (None, idle.held.upstream)
+        ]
+        return [self.return_unused(idle.held) for idle in returned]
+
+    def forget_grantor(self) -> None:
+        """Drop idle permits, asks and renewals after a change of grantor."""
+        self.idle.clear()
+        self.asks.clear()
+        self.renewals.clear()
+        self.registered = False
