--- a/wigeongw/daemon/lapsed_lease_test.py
+++ b/wigeongw/daemon/lapsed_lease_test.py
@@ -107,7 +107,7 @@
     ) -> None:
         self.clock.advance(PAUSE_MS)
         self.manager.on_load_report(POOL, UPSTREAM.name, "start")
-        self.assertFalse(self.manager.grantors[POOL].fenced)
+        self.assertFalse(self.manager.grantors.by_pool[POOL].fenced)
 
 
 if __name__ == "__main__":
--- a/wigeongw/daemon/load_report_poller.py
+++ b/wigeongw/daemon/load_report_poller.py
@@ -74,7 +74,7 @@
             self._poll_pool(pool, limiter, now)
 
     def _poll_pool(self, pool: str, limiter: CallLimiter, now: float) -> None:
-        grantor = self.permit_manager.grantors.get(pool)
+        grantor = self.permit_manager.grantors.by_pool.get(pool)
         if grantor is None:
             return
         upstream = grantor.next_to_measure(now - MAX_REPORT_AGE_MS)
--- a/wigeongw/daemon/local_resources.py
+++ b/wigeongw/daemon/local_resources.py
@@ -180,7 +180,7 @@
         are_fences_exclusive: bool,
     ) -> dict[str, Any]:
         fence = site.fences.get(pool)
-        grantor = self.permit_manager.grantors.get(pool)
+        grantor = self.permit_manager.grantors.by_pool.get(pool)
         queued = len(grantor.queue) if grantor else None
         return {
             "pool": pool,
@@ -202,7 +202,7 @@
     def _upstream(
         self, site: SiteState, pool: str, name: str, state: str
     ) -> dict[str, Any]:
-        grantor = self.permit_manager.grantors.get(pool)
+        grantor = self.permit_manager.grantors.by_pool.get(pool)
         view = site.upstreams.get(name)
         if grantor is not None and name in grantor.upstreams:
             slot = grantor.upstreams[name]
--- a/wigeongw/daemon/permit_manager.py
+++ b/wigeongw/daemon/permit_manager.py
@@ -8,7 +8,6 @@
 import asyncio
 from collections import deque
 from collections.abc import Iterable
-from collections.abc import Mapping
 from collections.abc import Sequence
 import random
 
@@ -16,24 +15,18 @@
 from wigeongw.core.clock import seconds
 from wigeongw.core.errors import WigeongwError
 from wigeongw.core.identifiers import pool_service
-from wigeongw.core.identifiers import pool_zone
 from wigeongw.core.metrics import Metrics
 from wigeongw.core.records import Upstream
 from wigeongw.daemon.decision_log import DecisionLog
-from wigeongw.daemon.decision_log import PLACE
+from wigeongw.daemon.pool_grantors import INCARNATION_BITS
+from wigeongw.daemon.pool_grantors import PoolGrantors
 from wigeongw.decisions import site_state as sites
 from wigeongw.decisions import strategies
 from wigeongw.decisions import trace
-from wigeongw.decisions.grantor import Grantor
 from wigeongw.decisions.grantor_state import UpstreamView
-from wigeongw.decisions.messages import Ask
-from wigeongw.decisions.messages import Cancel
 from wigeongw.decisions.messages import GrantorMessage
 from wigeongw.decisions.messages import HolderMessage
 from wigeongw.decisions.messages import LimitReport
-from wigeongw.decisions.messages import Register
-from wigeongw.decisions.messages import Renew
-from wigeongw.decisions.messages import Return
 from wigeongw.decisions.messages import ToGrantor
 from wigeongw.decisions.messages import ToHolder
 from wigeongw.decisions.messages import Verdict
@@ -48,14 +41,9 @@
 from wigeongw.decisions.site_state import SiteState
 from wigeongw.ports.peers import Peers
 from wigeongw.settings.schema import ServiceSettings
-from wigeongw.settings.schema import Settings
 
-INCARNATION_BITS = 30
 BUSY_TICK_INTERVAL_MS = 2.0
 IDLE_TICK_INTERVAL_MS = 20.0
-# After a longer time without a timer, messages that came in a pause of the
-# process may be read before the timers run. Less than FENCE_MARGIN_MS.
-MAX_FENCE_CHECK_AGE_MS = 100.0
 
 
 class NotAdmittedError(WigeongwError):
@@ -78,7 +66,7 @@
             trace is written.
         holders: holder of each service.
         configs: configuration that each holder was built with.
-        grantors: grantor of each pool that this entry host grants.
+        grantors: grantors of the pools that this entry host grants.
         pending: future of each request that waits for a permit.
         upstreams: listed upstreams by name.
         holders_by_request: holder that each started request got its permit
@@ -88,7 +76,6 @@
         effect_queue: effects that have not been applied yet.
         is_applying: whether effects are being applied; effects that follow
             from them are appended to the queue.
-        fences_checked_at: when the fences were last checked, monotonic clock.
     """
 
     def __init__(
@@ -110,14 +97,13 @@
         self.metrics = metrics
         self.holders: dict[str, SharingStrategy] = {}
         self.configs: dict[str, SharingConfig] = {}
-        self.grantors: dict[str, Grantor] = {}
+        self.grantors = PoolGrantors(rng, decision_log, write_trace)
         self.pending: dict[str, asyncio.Future[Held]] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.holders_by_request: dict[str, SharingStrategy] = {}
         self.requeued: dict[str, list[Wanted]] = {}
         self.effect_queue: deque[Effect | ToHolder] = deque()
         self.is_applying = False
-        self.fences_checked_at = float("-inf")
 
     async def acquire(self, service: str, wanted: Wanted) -> Held:
         """Wait for a permit to send a request.
@@ -185,7 +171,9 @@
         now = self.clock.now()
         effects: list[Effect | ToHolder] = []
         grantors_by_pool = sites.grantors(site, now)
-        self._update_grantors(grantors_by_pool, now, effects)
+        effects.extend(
+            self.grantors.update(site, site.settings, grantors_by_pool, now)
+        )
         for service, settings in site.settings.services.items():
             holder = self._current_holder(service, settings)
             pool_views = sites.service_views(site, service, grantors_by_pool)
@@ -208,9 +196,12 @@
         self, host: str, messages: Sequence[HolderMessage]
     ) -> None:
         """Pass messages of a holder on another entry host to the grantors."""
+        now = self.clock.now()
         effects: list[ToHolder] = []
         for message in messages:
-            effects.extend(self._deliver_to_grantor(host, message))
+            effects.extend(
+                self.grantors.deliver(self.site, host, message, now)
+            )
         self._apply(effects)
 
     def on_grantor_messages(
@@ -227,24 +218,18 @@
 
     def on_holder_disconnected(self, host: str) -> None:
         """Tell all grantors that the stream to a holder was closed."""
-        for grantor in self.grantors.values():
-            grantor.lost(host)
+        self.grantors.lost(host)
 
     def on_load_report(self, pool: str, upstream: str, start: str) -> None:
         """Pass the start identity from a load report to the grantor."""
-        grantor = self.grantors.get(pool)
-        if grantor is not None:
-            now = self.clock.now()
-            self._check_fences_after_pause(now)
-            self._apply(grantor.measured(upstream, start, now))
+        now = self.clock.now()
+        self._apply(
+            self.grantors.measured(self.site, pool, upstream, start, now)
+        )
 
     def upstream_views(self) -> tuple[UpstreamView, ...]:
         """Return the state of all upstreams whose permits are granted here."""
-        return tuple(
-            view
-            for grantor in self.grantors.values()
-            for view in grantor.views()
-        )
+        return self.grantors.views()
 
     async def run(self) -> None:
         """Process timers until cancelled.
@@ -256,12 +241,9 @@
             has_waiting = any(
                 holder.waiting_count() for holder in self.holders.values()
             )
-            has_queued = any(
-                grantor.queue for grantor in self.grantors.values()
-            )
             interval_ms = (
                 BUSY_TICK_INTERVAL_MS
-                if has_waiting or has_queued
+                if has_waiting or self.grantors.has_queued()
                 else IDLE_TICK_INTERVAL_MS
             )
             await asyncio.sleep(seconds(interval_ms))
@@ -269,28 +251,13 @@
     def tick(self) -> None:
         """Process the timers of all holders and grantors once."""
         now = self.clock.now()
-        effects: list[Effect | ToHolder] = []
-        self._check_fences(now)
-        for grantor in self.grantors.values():
-            effects.extend(grantor.tick(now))
+        effects: list[Effect | ToHolder] = [
+            *self.grantors.tick(self.site, now)
+        ]
         for holder in self.holders.values():
             effects.extend(holder.tick(now))
         self._apply(effects)
 
-    def _check_fences(self, now: float) -> None:
-        """Tell all grantors whether this host still holds their fences."""
-        self.fences_checked_at = now
-        are_fences_exclusive = sites.are_fences_exclusive(self.site, now)
-        for pool, grantor in self.grantors.items():
-            grantor.set_fenced(
-                sites.owns_fence(self.site, pool, are_fences_exclusive), now
-            )
-
-    def _check_fences_after_pause(self, now: float) -> None:
-        """Check the fences if no timer has done so for a while."""
-        if now - self.fences_checked_at > MAX_FENCE_CHECK_AGE_MS:
-            self._check_fences(now)
-
     def _apply(self, effects: Iterable[Effect | ToHolder]) -> None:
         """Apply effects, and the effects that follow from them, in order."""
         self.effect_queue.extend(effects)
@@ -310,8 +277,11 @@
             self._refuse(effect)
         elif isinstance(effect, ToGrantor):
             if effect.host == self.site.me.name:
+                now = self.clock.now()
                 self.effect_queue.extend(
-                    self._deliver_to_grantor(effect.host, effect.message)
+                    self.grantors.deliver(
+                        self.site, effect.host, effect.message, now
+                    )
                 )
             else:
                 self.peers.send_to_grantor(effect.host, effect.message)
@@ -347,30 +317,6 @@
             return
         self._apply(holder.abandon(request, self.clock.now()))
 
-    def _deliver_to_grantor(
-        self, host: str, message: HolderMessage
-    ) -> list[ToHolder]:
-        """Pass a message to the grantor of its pool.
-
-        Returns:
-            The replies; none when the grantor of the pool is on another host.
-        """
-        grantor = self.grantors.get(message.pool)
-        if grantor is None:
-            return []
-        now = self.clock.now()
-        self._check_fences_after_pause(now)
-        if isinstance(message, Ask):
-            return grantor.ask(host, message, now)
-        if isinstance(message, Return):
-            return grantor.take_back(host, message, now)
-        if isinstance(message, Renew):
-            return grantor.renew(host, message, now)
-        if isinstance(message, Cancel):
-            return grantor.cancel(host, message)
-        assert isinstance(message, Register)
-        return grantor.register(host, message, now)
-
     def _current_holder(
         self, service: str, settings: ServiceSettings
     ) -> SharingStrategy:
@@ -396,70 +342,6 @@
                 )
         return self.holders[service]
 
-    def _update_grantors(
-        self,
-        grantors_by_pool: Mapping[str, str | None],
-        now: float,
-        effects: list[Effect | ToHolder],
-    ) -> None:
-        """Add, remove and update grantors according to the state of the site.
-
-        Args:
-            grantors_by_pool: entry host that grants the permits of each pool.
-            now: monotonic milliseconds.
-            effects: list that the effects of the updates are appended to.
-        """
-        site = self.site
-        assert site.settings is not None
-        own_pools = {
-            pool
-            for pool, host in grantors_by_pool.items()
-            if host == site.me.name
-        }
-        are_fences_exclusive = sites.are_fences_exclusive(site, now)
-        for pool in [pool for pool in self.grantors if pool not in own_pools]:
-            del self.grantors[pool]
-            self._log_placement(pool, "given-up")
-        for pool in sorted(own_pools):
-            if pool not in self.grantors:
-                self.grantors[pool] = self._new_grantor(
-                    pool, site.settings, now
-                )
-                self._log_placement(pool, "taken-up")
-            grantor = self.grantors[pool]
-            grantor.set_rules(site.settings.permits, site.settings.cold_start)
-            grantor.set_fenced(
-                sites.owns_fence(site, pool, are_fences_exclusive), now
-            )
-            effects.extend(grantor.set_open(sites.is_open(site, pool), now))
-            slots = site.settings.services[pool_service(pool)].slots
-            upstreams = sites.upstreams_of(site, pool)
-            effects.extend(grantor.set_upstreams(upstreams, slots, now))
-
-    def _new_grantor(
-        self, pool: str, settings: Settings, now: float
-    ) -> Grantor:
-        incarnation = self.rng.getrandbits(INCARNATION_BITS)
-        takeover = sites.takeover(self.site, pool, incarnation, now)
-        permits, cold_start = settings.permits, settings.cold_start
-        if self.write_trace is None:
-            return Grantor(pool, permits, cold_start, takeover, now)
-        grantor: Grantor = trace.traced_grantor(
-            pool, permits, cold_start, takeover, now, self.write_trace
-        )
-        return grantor
-
-    def _log_placement(self, pool: str, reason: str) -> None:
-        self.decision_log.add(
-            PLACE,
-            pool,
-            pool_service(pool),
-            self.site.me.name,
-            pool_zone(pool),
-            self.site.revision,
-            reason,
-        )
-
 
 def _is_same_config(
     current: SharingConfig | None, config: SharingConfig
