A cold upstream that stays slow is offered requests less often

While a cold upstream waits, one holder at a time asks anew. One that is slow for good would have had a request at any time that way: in ten seconds 24 requests of 400 ms, each slow for its client.

--- a/standins/permit_site.py
+++ b/standins/permit_site.py
@@ -38,6 +38,7 @@
 
     Attributes:
         limits: requests per second that each upstream names.
+        served_ms: time that each upstream takes for a request.
         sent: when requests were sent to each upstream.
     """
 
@@ -51,6 +52,7 @@
         for tracked in self.grantor.upstreams.values():
             tracked.ramp = tracked.ramp.__class__(SLOTS, SLOTS)
         self.limits: dict[str, float | None] = {"u1": None, "u2": None}
+        self.served_ms = {"u1": SERVED_MS, "u2": SERVED_MS}
         self.sent: dict[str, list[float]] = {"u1": [], "u2": []}
         self.in_flight: list[tuple[float, str, str, str]] = []
         self.holders = {
@@ -97,7 +99,12 @@
         for _, host, request, upstream in due:
             report = LimitReport(self.limits[upstream])
             effects = self.holders[host].done(
-                request, Verdict.GOOD, SERVED_MS, "", self.now, report
+                request,
+                Verdict.GOOD,
+                self.served_ms[upstream],
+                "",
+                self.now,
+                report,
             )
             self.apply(host, effects)
 
@@ -107,8 +114,9 @@
             if isinstance(effect, Start):
                 upstream = effect.held.upstream
                 self.sent[upstream].append(self.now)
+                ends_at = self.now + self.served_ms[upstream]
                 self.in_flight.append(
-                    (self.now + SERVED_MS, host, effect.request, upstream)
+                    (ends_at, host, effect.request, upstream)
                 )
             elif isinstance(effect, ToGrantor) and effect.host:
                 self.deliver(self.pass_on(host, effect.message))
--- a/wigeongw/decisions/grantor.py
+++ b/wigeongw/decisions/grantor.py
@@ -33,8 +33,10 @@
 from wigeongw.decisions.messages import Revoke
 from wigeongw.decisions.messages import ToHolder
 from wigeongw.decisions.messages import Verdict
+from wigeongw.decisions.permit_recall import next_pace
 from wigeongw.decisions.permit_recall import next_recall
 from wigeongw.decisions.permit_recall import Recall
+from wigeongw.decisions.permit_recall import RecallPace
 from wigeongw.decisions.rate_limit import GrantTerms
 from wigeongw.decisions.rate_limit import LimitGrantor
 from wigeongw.settings.schema import ColdStartSettings
@@ -42,7 +44,6 @@
 
 PRESSURE_INTERVAL_MS = 10.0
 EXPIRY_CHECK_INTERVAL_MS = 50.0
-RECALL_INTERVAL_MS = 50.0
 # Low bits of a permit number; the high bits hold the grantor's incarnation.
 SERIAL_BITS = 32
 
@@ -90,6 +91,7 @@
         self.pressure_sent_at = float("-inf")
         self.expiry_checked_at = float("-inf")
         self.recall_checked_at = float("-inf")
+        self.recall_pace = RecallPace()
         self.last_recall: Recall | None = None
         self.holders: set[str] = set()
 
@@ -448,13 +450,20 @@
     def _recall_for_cold(self, now: float) -> list[ToHolder]:
         """Return a revocation if a cold upstream waits for requests.
 
-        At most once per RECALL_INTERVAL_MS.
+        The less often, the longer the upstream has made no progress.
         """
         if self.queue or not self.is_open:
             return []
-        if now - self.recall_checked_at < RECALL_INTERVAL_MS:
+        if now - self.recall_checked_at < self.recall_pace.interval_ms:
             return []
         self.recall_checked_at = now
+        cold = {
+            name: (tracked.ramp.limit, tracked.ramp.good)
+            for name, tracked in self.upstreams.items()
+            if not tracked.ramp.warm
+        }
+        if not cold:
+            self.recall_pace = RecallPace()
         if all(s.ramp.warm for s in self._available_upstreams(now)):
             return []
         held = (
@@ -466,6 +475,7 @@
         if chosen is None:
             return []
         self.last_recall = chosen
+        self.recall_pace = next_pace(self.recall_pace, cold)
         revoke = Revoke(self.pool, chosen.upstream)
         return [ToHolder(chosen.holder, revoke)]
 
--- a/wigeongw/decisions/permit_recall.py
+++ b/wigeongw/decisions/permit_recall.py
@@ -4,11 +4,18 @@
 reuse their permits then and ask for no others, so a cold upstream would stay
 cold until the load rises, which is when its slots are needed. While an
 upstream waits like that, one holder after the other is told to drop its
-permits of one warm upstream; the asks that follow reach the cold one.
+permits of one warm upstream; the asks that follow reach the cold one. If it
+makes no progress, as it is still slow, it is offered requests less and less
+often, since each of them is slow for its client.
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
+
+MIN_INTERVAL_MS = 50.0
+MAX_INTERVAL_MS = 1_000.0
 
 
 @dataclass(frozen=True, order=True, slots=True)
@@ -36,3 +43,40 @@
     if last is None:
         return in_turn[0]
     return next((r for r in in_turn if r > last), in_turn[0])
+
+
+@dataclass(frozen=True, slots=True)
+class RecallPace:
+    """How often permits are recalled.
+
+    Attributes:
+        interval_ms: least time until the next recall.
+        limits: warm-up of each cold upstream at the last recall: its limit
+            and the completions that count since it last rose.
+    """
+
+    interval_ms: float = MIN_INTERVAL_MS
+    limits: Mapping[str, tuple[int, int]] = field(default_factory=dict)
+
+
+def next_pace(
+    pace: RecallPace, limits: Mapping[str, tuple[int, int]]
+) -> RecallPace:
+    """Return the pace after a recall.
+
+    Args:
+        pace: the pace before.
+        limits: warm-up of each cold upstream now, see RecallPace.
+
+    Returns:
+        The shortest interval if a cold upstream is new or has made progress
+        since the last recall, else twice the interval before, to a bound.
+    """
+    is_progress = any(
+        name not in pace.limits or reached > pace.limits[name]
+        for name, reached in limits.items()
+    )
+    if is_progress:
+        return RecallPace(MIN_INTERVAL_MS, limits)
+    longer_ms = min(2.0 * pace.interval_ms, MAX_INTERVAL_MS)
+    return RecallPace(longer_ms, limits)
