--- a/wigeongw/decisions/permit_recall.py
+++ b/wigeongw/decisions/permit_recall.py
@@ -51,32 +51,32 @@
 
     Attributes:
         interval_ms: least time until the next recall.
-        limits: warm-up of each cold upstream at the last recall: its limit
-            and the completions that count since it last rose.
+        reached: how far the warm-up of each cold upstream was at the last
+            recall: its limit, and the completions that count since it rose.
     """
 
     interval_ms: float = MIN_INTERVAL_MS
-    limits: Mapping[str, tuple[int, int]] = field(default_factory=dict)
+    reached: Mapping[str, tuple[int, int]] = field(default_factory=dict)
 
 
 def next_pace(
-    pace: RecallPace, limits: Mapping[str, tuple[int, int]]
+    pace: RecallPace, reached: Mapping[str, tuple[int, int]]
 ) -> RecallPace:
     """Return the pace after a recall.
 
     Args:
         pace: the pace before.
-        limits: warm-up of each cold upstream now, see RecallPace.
+        reached: the same of each cold upstream now.
 
     Returns:
         The shortest interval if a cold upstream is new or has made progress
         since the last recall, else twice the interval before, to a bound.
     """
     is_progress = any(
-        name not in pace.limits or reached > pace.limits[name]
-        for name, reached in limits.items()
+        name not in pace.reached or progress > pace.reached[name]
+        for name, progress in reached.items()
     )
     if is_progress:
-        return RecallPace(MIN_INTERVAL_MS, limits)
+        return RecallPace(MIN_INTERVAL_MS, reached)
     longer_ms = min(2.0 * pace.interval_ms, MAX_INTERVAL_MS)
-    return RecallPace(longer_ms, limits)
+    return RecallPace(longer_ms, reached)
--- a/wigeongw/decisions/permit_recall_test.py
+++ b/wigeongw/decisions/permit_recall_test.py
@@ -37,9 +37,9 @@
             [first.interval_ms, waiting.interval_ms, again.interval_ms],
             [MIN_INTERVAL_MS, 2 * MIN_INTERVAL_MS, 4 * MIN_INTERVAL_MS],
         )
-        for limits in ({"u": (1, 1)}, {"u": (2, 0)}, {"new": (1, 0)}):
-            with self.subTest(limits):
-                pace = next_pace(again, limits)
+        for reached in ({"u": (1, 1)}, {"u": (2, 0)}, {"new": (1, 0)}):
+            with self.subTest(reached):
+                pace = next_pace(again, reached)
                 self.assertEqual(pace.interval_ms, MIN_INTERVAL_MS)
         for _ in range(20):
             again = next_pace(again, {"u": (1, 0)})
