--- a/review/9/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""Case 9: an upstream leaves while a machine is cut off from the store.
+"""Case 10: an upstream leaves while a machine is cut off from the store.
 
 The upstream reports that it drains, says so in all its answers, serves for
 drainS and a little longer, and ends. The rule is broken if a request that a
