--- a/review/10/case.py
+++ b/review/10/case.py
@@ -19,7 +19,7 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 UPSTREAM_SCRIPT = FOLDER.parent / "6" / "upstream.py"
-CLIENTS = 14
+CLIENTS = 38
 WORK_MS = 400
 DEADLINE_MS = 5_000
 SETTLING_S = 4.0
@@ -67,7 +67,7 @@
         leaving = await start(
             UPSTREAM_SCRIPT, "leaving", "orders", [LEAVING], self.on_run
         )
-        others = ["i-order1", "i-order2"]
+        others = [f"i-order{i}" for i in range(1, 8)]
         await start(UPSTREAM_SCRIPT, "sound", "orders", others, self.on_run)
         link = Proxy(self.site.store.address)
         await link.start(self.site.stack)
