No peer fills or stalls a host: one account a message, one ledger a process

Cause: limits stood where a fault had been seen. Trailers were kept as headers, pipelined requests were parsed whatever waited, each informational response set the count of bytes back, answers and uploads counted as gone while a transport or a reference cycle held them, and nothing counted connections. Of a client that left with pipelined requests only the newest learned of it. Change: decisions/message_account, memory_ledger, connection_limits; the feed of both parsers is sliced and bounded in a turn (adapters/turn_feed); the client protocol has a module of its own; the pool bounds its connections and closes one whose request is not sent in full; a failed exchange frees its body at once.

--- /dev/null
+++ b/wigeongw/adapters/message_bounds_test.py
@@ -0,0 +1,356 @@
+"""Bytes without end in any order meet the account of their message.
+
+No clock and no network: fake transports drive both parsers. The load is a peer
+that may mix all that a parser accepts beside bodies.
+"""
+
+import asyncio
+from collections.abc import Callable
+import logging
+from typing import Any
+from typing import cast
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+from uvicorn import Config
+from uvicorn.server import ServerState
+
+from wigeongw.adapters import upstream_connection
+from wigeongw.adapters.client_protocol import LimitedProtocol
+from wigeongw.adapters.client_protocol import protocol_class
+from wigeongw.adapters.client_resources import ClientResources
+from wigeongw.adapters.client_resources import CloseReason
+from wigeongw.adapters.upstream_connection import ExchangeError
+from wigeongw.adapters.upstream_connection import UpstreamConnection
+from wigeongw.core.site import ClientLimits
+from wigeongw.decisions.message_account import MAX_OVERHEAD_PER_BODY_BYTE
+from wigeongw.decisions.message_account import MessageAccount
+
+HEAD_BYTES = 2_000
+BODY_BYTES = 20_000
+REPEATS = 400
+MAX_PIECES = 30_000
+HOST = b"Host: a\r\n"
+CHUNKED_HEAD = (
+    b"POST / HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\n"
+)
+# What a client may repeat after the head of a chunked request; the rest of a
+# message follows none of them.
+REQUEST_UNITS = (b"1\r\nx\r\n", b"1;extension=long\r\nx\r\n", b"2\r\nxy\r\n")
+RESPONSE_UNITS = (
+    b"HTTP/1.1 100 Continue\r\n\r\n",
+    b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nxy",
+)
+
+
+class FakeTransport(asyncio.Transport):
+    """Records what is written, and whether it was closed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = bytearray()
+        self.is_ended = False
+        self.is_paused = False
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return default
+
+    def is_closing(self) -> bool:
+        return self.is_ended
+
+    def close(self) -> None:
+        self.is_ended = True
+
+    def abort(self) -> None:
+        self.is_ended = True
+
+    def write(self, data: Any) -> None:
+        self.written += data
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def pause_reading(self) -> None:
+        self.is_paused = True
+
+    def resume_reading(self) -> None:
+        self.is_paused = False
+
+
+async def hang(scope: Any, receive: Any, send: Any) -> None:
+    """Read what comes and never answer."""
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
+def run(play: Callable[[], Any]) -> None:
+    """Run a coroutine function on a new event loop."""
+    with asyncio.Runner(debug=False) as runner:
+        runner.run(play())
+
+
+class ClientBoundsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        logging.getLogger("uvicorn").setLevel(logging.CRITICAL + 1)
+        self.closed: list[CloseReason] = []
+        limits = ClientLimits(HEAD_BYTES, BODY_BYTES)
+        self.resources = ClientResources(
+            lambda: limits, on_close=self.closed.append
+        )
+
+    def connect(self, app: Any = hang) -> LimitedProtocol:
+        """Return a connection with a fake transport."""
+        config = Config(
+            app,
+            http=protocol_class(self.resources),
+            ws="none",
+            log_config=None,
+            access_log=False,
+        )
+        config.load()
+        protocol = protocol_class(self.resources)(
+            config, ServerState(), {}, asyncio.get_running_loop()
+        )
+        protocol.connection_made(FakeTransport())
+        return protocol
+
+    async def send(self, protocol: LimitedProtocol, data: bytes) -> None:
+        """Deliver bytes as a transport does that may be paused."""
+        transport = cast(FakeTransport, protocol.transport)
+        while transport.is_paused:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+        protocol.data_received(data)
+        await asyncio.sleep(0)
+
+    async def send_until_closed(
+        self, protocol: LimitedProtocol, unit: bytes
+    ) -> int:
+        """Send a unit without end; return the bytes that were taken."""
+        taken = 0
+        for _ in range(MAX_PIECES // len(unit)):
+            if protocol.transport.is_closing():
+                break
+            await self.send(protocol, unit * 10)
+            taken += 10 * len(unit)
+        protocol.connection_lost(None)
+        return taken
+
+    def check_closed(self, start: bytes, unit: bytes, most: int) -> None:
+        async def play() -> None:
+            protocol = self.connect()
+            await self.send(protocol, start)
+            self.assertLess(await self.send_until_closed(protocol, unit), most)
+
+        run(play)
+
+    def test_trailers_of_all_kinds_end_the_connection(self) -> None:
+        start = CHUNKED_HEAD + b"1\r\nx\r\n0\r\n"
+        bound = 3 * HEAD_BYTES
+        for unit in (b"a: b\r\n", b"long-name: " + b"v" * 50 + b"\r\n"):
+            with self.subTest(unit=unit):
+                self.check_closed(start, unit, bound)
+        self.check_closed(start + b"a: ", b"x", bound)
+        self.check_closed(CHUNKED_HEAD + b"1;", b"x", bound)
+
+    def test_blank_lines_before_a_request_end_the_connection(self) -> None:
+        self.check_closed(b"", b"\r\n", 2 * HEAD_BYTES)
+
+    def test_trailers_are_no_headers(self) -> None:
+        seen: list[Any] = []
+
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            while (await receive()).get("more_body"):
+                pass
+            seen.append(scope["headers"])
+
+        async def play() -> None:
+            protocol = self.connect(app)
+            await self.send(protocol, CHUNKED_HEAD + b"0\r\nX-Late: 1\r\n\r\n")
+            for _ in range(3):
+                await asyncio.sleep(0)
+            protocol.connection_lost(None)
+
+        run(play)
+        self.assertNotIn(b"x-late", dict(seen[0]))
+
+    @settings(max_examples=25, deadline=None)
+    @given(strategies.lists(strategies.sampled_from(REQUEST_UNITS)))
+    def test_sound_body_in_any_chunks_is_read(
+        self, chunks: list[bytes]
+    ) -> None:
+        """A client inside the limits may send the smallest chunks."""
+        received = bytearray()
+
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            while True:
+                message = await receive()
+                received.extend(message.get("body", b""))
+                if not message.get("more_body"):
+                    return
+
+        async def play() -> None:
+            protocol = self.connect(app)
+            await self.send(protocol, CHUNKED_HEAD)
+            for chunk in chunks:
+                await self.send(protocol, chunk * REPEATS)
+            await self.send(protocol, b"0\r\n\r\n")
+            for _ in range(40):
+                await asyncio.sleep(0)
+            protocol.connection_lost(None)
+
+        run(play)
+        bodies = (unit.split(b"\r\n")[1] for unit in chunks)
+        expected = sum(len(body) for body in bodies) * REPEATS
+        self.assertEqual(len(received), expected)
+        self.assertEqual(self.closed, [])
+
+    @settings(max_examples=25, deadline=None)
+    @given(strategies.lists(strategies.integers(1, 500), min_size=1))
+    def test_pipeline_behind_a_request_stays_small(
+        self, sizes: list[int]
+    ) -> None:
+        request = b"GET / HTTP/1.1\r\n" + HOST + b"\r\n"
+
+        async def play() -> None:
+            protocol = self.connect()
+            for size in sizes:
+                await self.send_some(protocol, request * size)
+                held = self.resources.ledger.unread_total
+                self.assertLess(held, 400_000)
+                self.assertLess(len(protocol.pipeline), 64)
+            protocol.connection_lost(None)
+
+        run(play)
+        self.assertEqual(self.resources.ledger.unread_total, 0)
+
+    async def send_some(self, protocol: LimitedProtocol, data: bytes) -> None:
+        """Deliver bytes unless reading is paused."""
+        if not cast(FakeTransport, protocol.transport).is_paused:
+            protocol.data_received(data)
+        await asyncio.sleep(0)
+
+    def test_all_pipelined_requests_learn_that_the_client_left(self) -> None:
+        """Only the newest was told; the one at an upstream ran on."""
+        ended: list[str] = []
+
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            ended.append(scope["path"])
+
+        async def play() -> None:
+            protocol = self.connect(app)
+            for path in (b"/one", b"/two"):
+                await self.send(
+                    protocol,
+                    b"GET " + path + b" HTTP/1.1\r\n" + HOST + b"\r\n",
+                )
+            protocol.connection_lost(None)
+            for _ in range(5):
+                await asyncio.sleep(0)
+
+        run(play)
+        self.assertEqual(ended, ["/one"])
+
+
+class UpstreamBoundsTest(unittest.TestCase):
+    def exchange(self, start: bytes, units: list[bytes]) -> tuple[int, bool]:
+        """Let an upstream repeat units; return bytes taken, and if it failed.
+
+        The bytes are those that came before the connection was closed.
+        """
+        taken = 0
+        has_failed = False
+
+        async def play() -> None:
+            nonlocal taken, has_failed
+            connection = UpstreamConnection("x-id")
+            transport = FakeTransport()
+            connection.connection_made(transport)
+            answer = asyncio.create_task(
+                connection.exchange(
+                    b"GET / HTTP/1.1\r\n\r\n", b"", "own", False
+                )
+            )
+            await asyncio.sleep(0)
+            connection.data_received(start)
+            for number in range(MAX_PIECES):
+                if transport.is_ended:
+                    break
+                unit = units[number % len(units)]
+                connection.data_received(unit * 20)
+                taken += 20 * len(unit)
+                await asyncio.sleep(0)
+            try:
+                await answer
+            except ExchangeError:
+                has_failed = True
+
+        run(play)
+        return taken, has_failed
+
+    @settings(max_examples=20, deadline=None)
+    @given(
+        strategies.lists(
+            strategies.sampled_from(RESPONSE_UNITS[:2]), min_size=1, max_size=6
+        )
+    )
+    def test_informational_responses_share_one_account(
+        self, units: list[bytes]
+    ) -> None:
+        """Each of them began a message and set the count back."""
+        taken, has_failed = self.exchange(b"", units)
+        self.assertTrue(has_failed)
+        bound = upstream_connection.MAX_OVERHEAD_BYTES
+        self.assertLess(taken, 2 * bound)
+
+    def test_responses_to_other_requests_share_one_account(self) -> None:
+        start = (
+            b"HTTP/1.1 200 OK\r\nX-Id: other\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        taken, has_failed = self.exchange(start, [b"1\r\nx\r\n"])
+        self.assertTrue(has_failed)
+        self.assertLess(taken, 2 * upstream_connection.MAX_OVERHEAD_BYTES)
+        taken, has_failed = self.exchange(
+            start, [b"400\r\n" + b"x" * 1024 + b"\r\n"]
+        )
+        self.assertTrue(has_failed)
+        self.assertLess(taken, 2 * upstream_connection.MAX_FOREIGN_BYTES)
+
+    def test_answer_in_small_chunks_is_read(self) -> None:
+        start = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+        async def play() -> None:
+            connection = UpstreamConnection("x-id")
+            connection.connection_made(FakeTransport())
+            answer = asyncio.create_task(
+                connection.exchange(
+                    b"GET / HTTP/1.1\r\n\r\n", b"", "own", False
+                )
+            )
+            await asyncio.sleep(0)
+            connection.data_received(start + b"1\r\nx\r\n" * 50_000)
+            connection.data_received(b"0\r\n\r\n")
+            reply = await answer
+            self.assertEqual(reply.body, b"x" * 50_000)
+
+        run(play)
+
+
+class MessageAccountTest(unittest.TestCase):
+    def test_nothing_inside_a_message_sets_it_back(self) -> None:
+        account = MessageAccount(10)
+        account.received, account.body = 20, 10
+        self.assertFalse(account.is_exceeded)
+        account.received += 10 * MAX_OVERHEAD_PER_BODY_BYTE
+        self.assertFalse(account.is_exceeded)
+        account.received += 1
+        self.assertTrue(account.is_exceeded)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wigeongw/adapters/upstream_connection.py
+++ b/wigeongw/adapters/upstream_connection.py
@@ -16,17 +16,23 @@
 import httptools
 
 from wigeongw.adapters.body_stream import BodyStream
+from wigeongw.adapters.turn_feed import TurnFeed
 from wigeongw.decisions.memory_shares import BufferLimits
+from wigeongw.decisions.message_account import MessageAccount
 from wigeongw.ports.errors import BodyError
 
 # Request bodies up to this size are sent together with their head.
 MAX_JOINED_BODY_BYTES = 16 << 10
-# Bytes that an upstream may send without completing a final head or sending
-# body bytes: informational responses, a head, framing of chunks, trailers. A
-# faulty upstream may send such bytes without end.
-MAX_BYTES_WITHOUT_PROGRESS = 1 << 16
+# Bytes that an upstream may send in an exchange beside the body of its answer:
+# informational responses, a head, framing of chunks, trailers, responses to
+# other requests. A faulty upstream may send such bytes without end.
+MAX_OVERHEAD_BYTES = 1 << 16
 # Responses to other requests that an exchange skips before it fails.
 MAX_FOREIGN_RESPONSES = 2
+# Body bytes of such responses.
+MAX_FOREIGN_BYTES = 1 << 20
+# Bytes that are parsed before the bounds are checked.
+SLICE_BYTES = 16 << 10
 # Responses with a lower status are informational.
 MIN_FINAL_STATUS = 200
 BODILESS_STATUSES = frozenset((204, 304))
@@ -86,8 +92,12 @@
         is_kept: whether the connection has served an exchange before this one.
         exchange_count: number of exchanges begun.
         has_echoed: whether the upstream has echoed a request's ID on it.
-        bytes_without_progress: bytes received since the last complete head
-            or body bytes.
+        account: counts the bytes of the exchange.
+        foreign_bytes: body bytes of responses to other requests in it.
+        feed: the received bytes that are not parsed yet.
+        open_connections: all open connections of the pool, with this one.
+        is_stream_paused: whether the reader of a long body is slow.
+        is_read_paused: whether reading from the transport is paused.
         is_skipping: whether the response being parsed is discarded.
         is_complete: whether the response of the last exchange has ended.
         is_close_delimited: whether the response ends when the upstream
@@ -99,7 +109,14 @@
             whose response is truncated can be retried.
     """
 
-    def __init__(self, request_id_header: str) -> None:
+    def __init__(
+        self,
+        request_id_header: str,
+        open_connections: set["UpstreamConnection"] | None = None,
+    ) -> None:
+        self.open_connections = (
+            set() if open_connections is None else open_connections
+        )
         self.request_id_header = request_id_header
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
@@ -111,14 +128,19 @@
         self.is_kept = False
         self.has_echoed = False
         self.exchange_count = 0
-        self.bytes_without_progress = 0
+        self.account = MessageAccount(MAX_OVERHEAD_BYTES)
+        self.foreign_bytes = 0
+        self.feed = TurnFeed(
+            self._parse, self._next_size, self._update_reading
+        )
+        self.is_stream_paused = False
+        self.is_read_paused = False
         self.foreign_responses = 0
         self.idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS
         self.idle_since = 0.0
         self.limits = BufferLimits()
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body_chunks: list[bytes] = []
-        self.body_size = 0
+        self.body = bytearray()
         self.reply: BufferedReply | None = None
         self.is_skipping = False
         self.is_complete = False
@@ -129,6 +151,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit how long sent bytes may stay unacknowledged."""
         self.transport = cast(asyncio.Transport, transport)
+        self.open_connections.add(self)
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(
@@ -142,17 +165,42 @@
         if self.waiter is None and self.reply is None:
             self.close()
             return
-        self.bytes_without_progress += len(data)
+        self.feed.add(data)
+
+    def _parse(self, piece: bytes) -> None:
+        if self.waiter is None and self.reply is None:
+            self.close()
+            return
+        self.account.received += len(piece)
         try:
-            self.parser.feed_data(data)
+            self.parser.feed_data(piece)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
             self._fail(f"not an answer: {e!r}")
             return
-        if self.bytes_without_progress > MAX_BYTES_WITHOUT_PROGRESS:
-            self._fail("not an answer: head without end")
+        if self.account.is_exceeded or self.foreign_bytes > MAX_FOREIGN_BYTES:
+            self._fail("not an answer: bytes without end")
+
+    def _next_size(self) -> int:
+        """Return how many bytes may be parsed before the next check."""
+        if self.transport is None or self.transport.is_closing():
+            self.feed.drop()
+            return 0
+        return SLICE_BYTES
+
+    def _update_reading(self) -> None:
+        """Read on unless the reader is slow or received bytes wait."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        is_paused = self.is_stream_paused or self.feed.waiting > 0
+        if is_paused and not self.is_read_paused:
+            self.transport.pause_reading()
+        elif self.is_read_paused and not is_paused:
+            self.transport.resume_reading()
+        self.is_read_paused = is_paused
 
     def eof_received(self) -> None:
         """Complete a close-delimited response."""
+        self._parse_rest()
         if (
             self.is_close_delimited
             and not self.is_skipping
@@ -161,7 +209,10 @@
             self._complete_response()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Fail the exchange in progress."""
+        """Fail the exchange in progress, unless its answer has arrived."""
+        self._parse_rest()
+        self.feed.drop()
+        self.open_connections.discard(self)
         self.is_reusable = False
         reason = "reset" if exc is not None else "closed"
         self._fail(f"connection {reason}")
@@ -173,10 +224,17 @@
         """Whether another exchange can be started."""
         return (
             self.is_reusable
+            and not self.feed.waiting
             and self.transport is not None
             and not self.transport.is_closing()
         )
 
+    def has_unsent_bytes(self) -> bool:
+        """Return whether bytes of a request wait to be sent."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        return self.transport.get_write_buffer_size() > 0
+
     def has_unread_bytes(self) -> bool:
         """Return whether bytes have arrived that were not read yet.
 
@@ -218,6 +276,8 @@
         self.is_kept = self.exchange_count > 0
         self.exchange_count += 1
         self.foreign_responses = 0
+        self.foreign_bytes = 0
+        self.account = MessageAccount(MAX_OVERHEAD_BYTES)
         self.reply = None
         self._reset_response()
         self.parser = httptools.HttpResponseParser(self)
@@ -239,6 +299,8 @@
     def close(self) -> None:
         """Close, upon which the upstream cancels the connection's request."""
         self.is_reusable = False
+        self.feed.drop()
+        self.open_connections.discard(self)
         if self.transport is not None and not self.transport.is_closing():
             self.transport.abort()
 
@@ -262,7 +324,6 @@
         status = self.parser.get_status_code()
         if self.is_complete or status < MIN_FINAL_STATUS:
             return
-        self.bytes_without_progress = 0
         fields = {
             n.decode("latin-1"): v.decode("latin-1") for n, v in self.headers
         }
@@ -299,15 +360,17 @@
 
     def on_body(self, data: bytes) -> None:
         """Buffer the body, or queue its chunks once it is long."""
-        self.bytes_without_progress = 0
         if self.is_skipping or self.is_complete or self.reply is None:
+            self.foreign_bytes += len(data)
+            # These bytes are bounded by themselves; their framing is not.
+            self.account.received -= len(data)
             return
+        self.account.body += len(data)
         if self.reply.rest is not None:
             self.reply.rest.feed(data)
             return
-        self.body_chunks.append(data)
-        self.body_size += len(data)
-        if self.body_size > self.limits.buffered:
+        self.body += data
+        if len(self.body) > self.limits.buffered:
             self.reply.rest = BodyStream(
                 self.limits.waiting, self._pause_reading, self._resume_reading
             )
@@ -328,12 +391,10 @@
 
     def _reset_response(self) -> None:
         self.headers = []
-        self.body_chunks = []
-        self.body_size = 0
+        self.body = bytearray()
         self.is_skipping = False
         self.is_complete = False
         self.is_close_delimited = False
-        self.bytes_without_progress = 0
 
     def _discard_headers(self) -> None:
         if not self.is_complete:
@@ -370,8 +431,8 @@
             self._deliver(reply)
 
     def _deliver(self, reply: BufferedReply) -> None:
-        reply.body = b"".join(self.body_chunks)
-        self.body_chunks = []
+        reply.body = bytes(self.body)
+        self.body = bytearray()
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(reply)
 
@@ -383,10 +444,15 @@
             self.reply.rest.finish(BodyError(reason))
         self.close()
 
+    def _parse_rest(self) -> None:
+        """Parse what has arrived, as the transport has no more for it."""
+        while self.feed.waiting and self._next_size():
+            self.feed.run()
+
     def _pause_reading(self) -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.pause_reading()
+        self.is_stream_paused = True
+        self._update_reading()
 
     def _resume_reading(self) -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.resume_reading()
+        self.is_stream_paused = False
+        self._update_reading()
--- a/wigeongw/adapters/upstream_pool.py
+++ b/wigeongw/adapters/upstream_pool.py
@@ -13,6 +13,7 @@
 
 CONNECT_TIMEOUT_MS = 250.0
 IDLE_CHECK_INTERVAL_MS = 1_000.0
+DEFAULT_MAX_CONNECTIONS = 4096
 
 
 class UpstreamPool:
@@ -20,6 +21,8 @@
 
     Attributes:
         limits: returns how much of one response may be held now.
+        most: how many connections may be open.
+        open: the connections that are open.
         idle: idle connections by the upstream's identity, last used last.
     """
 
@@ -28,10 +31,13 @@
         clock: Clock,
         request_id_header: str,
         limits: Callable[[], BufferLimits] = BufferLimits,
+        most: int = DEFAULT_MAX_CONNECTIONS,
     ) -> None:
         self.limits = limits
         self.clock = clock
         self.request_id_header = request_id_header
+        self.most = most
+        self.open: set[UpstreamConnection] = set()
         self.idle: dict[str, list[UpstreamConnection]] = {}
 
     async def acquire(self, target: Target) -> UpstreamConnection:
@@ -59,8 +65,16 @@
         return await self._connect(target)
 
     def release(self, target: Target, connection: UpstreamConnection) -> None:
-        """Keep a connection if it can be reused, else close it."""
-        if not connection.is_open or not connection.is_complete:
+        """Keep a connection if it can be reused, else close it.
+
+        One whose upstream answered before it read the whole request is
+        closed, as its transport still holds the rest of the body.
+        """
+        if (
+            not connection.is_open
+            or not connection.is_complete
+            or connection.has_unsent_bytes()
+        ):
             connection.close()
             return
         connection.idle_since = self.clock.now()
@@ -104,13 +118,36 @@
             else:
                 del self.idle[identity]
 
+    def _make_room(self) -> None:
+        """Close idle connections, idle longest first, if too many are open.
+
+        Raises:
+            ExchangeError: if all are in use; nothing was sent.
+        """
+        while len(self.open) >= self.most:
+            oldest = min(
+                (idle[0] for idle in self.idle.values() if idle),
+                key=lambda connection: connection.idle_since,
+                default=None,
+            )
+            if oldest is None:
+                raise ExchangeError("too many connections are open", False)
+            for idle in self.idle.values():
+                if oldest in idle:
+                    idle.remove(oldest)
+            oldest.close()
+            self.open.discard(oldest)
+
     async def _connect(self, target: Target) -> UpstreamConnection:
+        self._make_room()
         address, port = split_address(target.address)
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(seconds(CONNECT_TIMEOUT_MS)):
                 _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(self.request_id_header),
+                    lambda: UpstreamConnection(
+                        self.request_id_header, self.open
+                    ),
                     address,
                     port,
                 )
--- a/wigeongw/core/site.py
+++ b/wigeongw/core/site.py
@@ -216,8 +216,9 @@
     max_lookup_ttl_ms: float = 5_000.0
 
 
-# Used when the platform names no limit.
+# Used when the platform names no limits.
 DEFAULT_MEMORY_BYTES = 300 << 20
+DEFAULT_DESCRIPTORS = 8192
 
 
 @dataclass(frozen=True, slots=True)
@@ -236,6 +237,7 @@
             down.
         bounds: limits of the site.
         memory_bytes: memory above which the host is killed.
+        descriptors: file descriptors that the host may have.
     """
 
     name: str
@@ -249,3 +251,4 @@
     seeds: tuple[str, ...] = ()
     bounds: SiteLimits = field(default_factory=SiteLimits)
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    descriptors: int = DEFAULT_DESCRIPTORS
--- a/wigeongw/decisions/memory_shares.py
+++ b/wigeongw/decisions/memory_shares.py
@@ -15,6 +15,10 @@
 UPLOAD_SHARE = 0.4
 RESPONSE_SHARE = 0.15
 STREAM_SHARE = 0.05
+# What clients have sent and no request has taken, as pipelined requests.
+UNREAD_SHARE = 0.1
+# Answers that their clients do not read.
+UNDELIVERED_SHARE = 0.15
 # Uploads beyond this size leave a part of the share to smaller ones.
 SMALL_UPLOAD_BYTES = 64 << 10
 LARGE_UPLOAD_SHARE = 0.8
@@ -45,7 +49,8 @@
 
     Args:
         size: bytes of the upload.
-        held: bytes of all uploads that are held.
+        held: bytes of all uploads, and of all that clients have not read or
+            that no request has taken.
         memory: bytes that the host may use.
     """
     limit = memory * UPLOAD_SHARE
@@ -54,6 +59,16 @@
     return held + size <= limit
 
 
+def max_unread(memory: int) -> int:
+    """Return how many bytes may wait that no request has taken."""
+    return int(memory * UNREAD_SHARE)
+
+
+def max_undelivered(memory: int) -> int:
+    """Return how many bytes of answers may wait for their clients."""
+    return int(memory * UNDELIVERED_SHARE)
+
+
 def response_limits(memory: int, responses: int) -> BufferLimits:
     """Return how much of each response a host may hold.
 
--- a/wigeongw/gateway/client_exchange.py
+++ b/wigeongw/gateway/client_exchange.py
@@ -8,7 +8,7 @@
 from typing import TypeVar
 
 from wigeongw.adapters.body_stream import BodyStream
-from wigeongw.adapters.http_server import RAW_TARGET_EXTENSION
+from wigeongw.adapters.client_protocol import RAW_TARGET_EXTENSION
 from wigeongw.adapters.upstream_connection import BufferedReply
 from wigeongw.adapters.upstream_connection import UpstreamConnection
 from wigeongw.core.clock import MS_PER_S
@@ -206,6 +206,9 @@
                 running.cancel()
                 with contextlib.suppress(asyncio.CancelledError):
                     await running
+            # A failed task refers to this frame, and the frame to the request
+            # body, which would stay until the next garbage collection.
+            del running, disconnect
 
     async def _wait_for_disconnect(self) -> None:
         while (await self.receive())["type"] != "http.disconnect":
@@ -230,7 +233,9 @@
         self.has_unread_body = True
         max_bytes = self.admission.limits().body_bytes
         self._hold(head.length or 0)
-        body = bytearray()
+        # A body that grows would take up to twice its size for a moment.
+        body = bytearray(head.length or 0)
+        size = 0
         remaining_ms = deadline_at - self.state.clock.now()
         try:
             async with asyncio.timeout(seconds(max(0.0, remaining_ms))):
@@ -238,10 +243,12 @@
                     message = await self.receive()
                     if message["type"] == "http.disconnect":
                         raise _ClientDisconnectedError
-                    body += message.get("body", b"")
-                    if len(body) > max_bytes:
+                    piece = message.get("body", b"")
+                    body[size : size + len(piece)] = piece
+                    size += len(piece)
+                    if size > max_bytes:
                         raise RequestError(413, "body_too_large")
-                    self._hold(len(body) - self.held_bytes)
+                    self._hold(size - self.held_bytes)
                     if not message.get("more_body", False):
                         self.has_unread_body = False
                         return body
--- a/wigeongw/gateway/endless_answer_test.py
+++ b/wigeongw/gateway/endless_answer_test.py
@@ -11,7 +11,7 @@
 import aiohttp
 
 from standins.scripted_upstream import response_bytes
-from wigeongw.adapters.http_server import LimitedProtocol
+from wigeongw.adapters.client_protocol import LimitedProtocol
 from wigeongw.core.addresses import split_address
 from wigeongw.decisions.memory_shares import MAX_BUFFERED_BYTES
 from wigeongw.gateway.host_case import configuration
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -9,17 +9,23 @@
 import aiohttp
 
 from wigeongw.adapters import http_server
+from wigeongw.adapters.client_resources import ClientResources
+from wigeongw.adapters.client_resources import CloseReason
+from wigeongw.adapters.client_resources import Connection
 from wigeongw.adapters.upstream_pool import UpstreamPool
 from wigeongw.core.addresses import split_address
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
+from wigeongw.core.log_throttle import LogThrottle
 from wigeongw.core.metrics import Metrics
 from wigeongw.core.restart_backoff import RepeatedFailure
 from wigeongw.core.site import HostConfig
 from wigeongw.core.site import SiteLimits
 from wigeongw.core.task_supervisor import TaskFunction
 from wigeongw.core.task_supervisor import TaskSupervisor
+from wigeongw.decisions import connection_limits
 from wigeongw.decisions import memory_shares
+from wigeongw.decisions.memory_ledger import MemoryLedger
 from wigeongw.decisions.memory_shares import BufferLimits
 from wigeongw.gateway.asgi import MetricsApp
 from wigeongw.gateway.asgi import PortRouter
@@ -51,6 +57,8 @@
 DRAIN_ACCEPT_SHARE = 0.58
 # Time reserved at the end of the grace period for closing.
 CLOSE_MARGIN_MS = 250.0
+# A crowd may have many connections closed for the same reason.
+CLOSED_LOG_INTERVAL_MS = 1_000.0
 
 
 @dataclass(frozen=True)
@@ -87,7 +95,12 @@
         self.state = GatewayState(host_config, clock, rng, self.log, Metrics())
         self.dialect = dependencies.dialect
         self.pool = UpstreamPool(
-            clock, self.dialect.names.request_id, self._response_limits
+            clock,
+            self.dialect.names.request_id,
+            self._response_limits,
+            connection_limits.max_upstream_connections(
+                host_config.descriptors
+            ),
         )
         self.peer_socket = PeerSocket(self.state.metrics)
         self.observations = ObservationExchange(self.state, self.peer_socket)
@@ -122,18 +135,42 @@
             RateLimiter(self.state, self.peer_socket),
         )
         forwarder = Forwarder(self.state, placer, sender)
-        self.proxy_app = ProxyApp(self.state, forwarder, self.dialect)
+        ledger: MemoryLedger[Connection] = MemoryLedger(
+            lambda: self.state.host_config.memory_bytes
+        )
+        self.proxy_app = ProxyApp(self.state, forwarder, self.dialect, ledger)
+        self.client_resources = ClientResources(
+            self.proxy_app.admission.limits,
+            ledger,
+            host_config.descriptors,
+            self._log_closed_client,
+        )
         self.platform_apps = dependencies.platform_apps
         self.supervisor = TaskSupervisor(
             clock, self.state.metrics, self._log_task_failure
         )
         self.stop_requested = asyncio.Event()
+        self.closed_throttle = LogThrottle(CLOSED_LOG_INTERVAL_MS)
 
     def _response_limits(self) -> BufferLimits:
         return memory_shares.response_limits(
             self.state.host_config.memory_bytes, self.proxy_app.in_progress
         )
 
+    def _log_closed_client(self, reason: CloseReason) -> None:
+        self.state.metrics.count("client_closed_total", reason.value)
+        if self.closed_throttle.allows(reason.value, self.clock.now()):
+            ledger = self.client_resources.ledger
+            self.log.add(
+                "client",
+                event="closed",
+                reason=reason.value,
+                connections=len(self.client_resources.table),
+                unread_bytes=ledger.unread_total,
+                undelivered_bytes=ledger.undelivered_total,
+                upload_bytes=ledger.uploads,
+            )
+
     def request_stop(self) -> None:
         """Begin a graceful stop; further calls have no effect."""
         self.stop_requested.set()
@@ -219,10 +256,7 @@
             sock = http_server.bind(f"{ip}:{port}")
             stack.callback(sock.close)
             sockets.append(sock)
-        protocol = http_server.limited_protocol(
-            self.proxy_app.admission.limits
-        )
-        server = http_server.build(PortRouter(apps), protocol)
+        server = http_server.build(PortRouter(apps), self.client_resources)
         task = asyncio.create_task(server.serve(sockets=sockets))
         stack.push_async_callback(_shut_down, server, task)
         return server
--- a/wigeongw/gateway/proxy_app.py
+++ b/wigeongw/gateway/proxy_app.py
@@ -1,8 +1,10 @@
 """ASGI application that proxies client requests to upstreams."""
 
 import asyncio
+from typing import Any
 
 from wigeongw.core.clock import seconds
+from wigeongw.decisions.memory_ledger import MemoryLedger
 from wigeongw.gateway.asgi import Receive
 from wigeongw.gateway.asgi import Scope
 from wigeongw.gateway.asgi import Send
@@ -25,10 +27,14 @@
     """
 
     def __init__(
-        self, state: GatewayState, forwarder: Forwarder, dialect: Dialect
+        self,
+        state: GatewayState,
+        forwarder: Forwarder,
+        dialect: Dialect,
+        ledger: MemoryLedger[Any],
     ) -> None:
         self.state = state
-        self.admission = RequestAdmission(state)
+        self.admission = RequestAdmission(state, ledger)
         self.in_progress = 0
         self.no_requests = asyncio.Event()
         self.no_requests.set()
--- a/wigeongw/gateway/request_admission.py
+++ b/wigeongw/gateway/request_admission.py
@@ -1,8 +1,10 @@
 """Decides whether a host takes a client's request, and by which route."""
 
+from typing import Any
+
 from wigeongw.core.site import ClientLimits
 from wigeongw.core.site import Route
-from wigeongw.decisions import memory_shares
+from wigeongw.decisions.memory_ledger import MemoryLedger
 from wigeongw.decisions.routing import find_route
 from wigeongw.gateway.errors import RequestError
 from wigeongw.gateway.request_head import RequestHead
@@ -20,16 +22,21 @@
     """Checks requests against routes, memory and a graceful stop.
 
     Attributes:
-        held_bytes: bytes of the request bodies that this host holds.
+        ledger: the bytes that this host holds for others.
         drain_deadline: during a graceful stop, when the last response must be
             complete, on the monotonic clock; None before.
     """
 
-    def __init__(self, state: GatewayState) -> None:
+    def __init__(self, state: GatewayState, ledger: MemoryLedger[Any]) -> None:
         self.state = state
-        self.held_bytes = 0
+        self.ledger = ledger
         self.drain_deadline: float | None = None
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the request bodies that this host holds."""
+        return self.ledger.uploads
+
     def match_route(self, head: RequestHead, path: str) -> Route:
         """Return the route of a request.
 
@@ -62,17 +69,15 @@
         Raises:
             RequestError: when they do not fit; the request has not run.
         """
-        memory = self.state.host_config.memory_bytes
-        if not memory_shares.may_admit(size, self.held_bytes, memory):
+        if not self.ledger.hold_upload(size):
             self.state.metrics.count("uploads_refused_total")
             raise RequestError(
                 503, "memory", retry_after_ms=MEMORY_RETRY_AFTER_MS
             )
-        self.held_bytes += size
 
     def release(self, size: int) -> None:
         """Give back the memory of a request body."""
-        self.held_bytes -= size
+        self.ledger.release_upload(size)
 
     def check_drain_deadline(self, ends_at: float) -> None:
         """Refuse a request that might not end before this host stops.
