Upstreams that leave or pause, and requests that end their upstreams

Cause: a host knew of an upstream's leaving by the store only, ignored Retry-After of upstreams, and sent a request again and again that ended each upstream that ran it. Change: availability_reader (leaving and pauses, by each start), decisions/ crash_suspects with gateway/crash_watch (evidence, verdict, trial), and notices between hosts of a datagram type of their own.

--- a/standins/scripted_upstream.py
+++ b/standins/scripted_upstream.py
@@ -44,6 +44,8 @@
         ended_count: Number of connections that the client closed, that
             failed, or whose task was cancelled.
         address: Address of the upstream; empty before the start.
+        writers: The open connections.
+        server: Accepts connections; None before the start.
     """
 
     def __init__(self, handler: RequestHandler) -> None:
@@ -52,18 +54,29 @@
         self.connection_count = 0
         self.ended_count = 0
         self.address = ""
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.server: asyncio.Server | None = None
 
     async def start(self, stack: AsyncExitStack) -> None:
         """Listen on a free loopback port until the stack closes."""
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         host, port = server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
+        self.server = server
         stack.callback(server.close)
 
+    def crash(self) -> None:
+        """End as a killed process does: all connections are reset."""
+        assert self.server is not None
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connection_count += 1
+        self.writers.add(writer)
         try:
             while True:
                 request = await _read_request(reader)
@@ -77,6 +90,7 @@
         ):
             self.ended_count += 1
         finally:
+            self.writers.discard(writer)
             writer.close()
 
 
--- a/wigeongw/adapters/native_dialect.py
+++ b/wigeongw/adapters/native_dialect.py
@@ -28,6 +28,7 @@
         not_run="wigeongw-not-run",
         instance="wigeongw-start",
         rate_limit="wigeongw-rate-limit",
+        leaving="wigeongw-leaving",
     )
 
     def load(
--- a/wigeongw/adapters/upstream_connection.py
+++ b/wigeongw/adapters/upstream_connection.py
@@ -51,12 +51,16 @@
     Attributes:
         reason: description that metrics, logs and responses contain.
         sent: whether any byte of the request may have been sent.
+        is_broken: whether the connection was closed or reset meanwhile.
     """
 
-    def __init__(self, reason: str, sent: bool) -> None:
+    def __init__(
+        self, reason: str, sent: bool, is_broken: bool = False
+    ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.sent = sent
+        self.is_broken = is_broken
 
 
 @dataclass(slots=True)
@@ -215,7 +219,7 @@
         self.open_connections.discard(self)
         self.is_reusable = False
         reason = "reset" if exc is not None else "closed"
-        self._fail(f"connection {reason}")
+        self._fail(f"connection {reason}", is_broken=True)
 
     # Exchanges
 
@@ -436,10 +440,12 @@
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(reply)
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, reason: str, is_broken: bool = False) -> None:
         self.is_reusable = False
         if self.waiter is not None and not self.waiter.done():
-            self.waiter.set_exception(ExchangeError(reason, self.sent))
+            self.waiter.set_exception(
+                ExchangeError(reason, self.sent, is_broken)
+            )
         elif self.reply and self.reply.rest and not self.is_complete:
             self.reply.rest.finish(BodyError(reason))
         self.close()
--- a/wigeongw/gateway/asgi.py
+++ b/wigeongw/gateway/asgi.py
@@ -6,6 +6,7 @@
 import resource
 from typing import Any
 
+from wigeongw.decisions.crash_suspects import CrashSuspects
 from wigeongw.gateway.state import GatewayState
 
 Scope = dict[str, Any]
@@ -33,10 +34,11 @@
 
 
 class MetricsApp:
-    """Serves counters and histograms as text."""
+    """Serves counters, gauges and histograms as text."""
 
-    def __init__(self, state: GatewayState) -> None:
+    def __init__(self, state: GatewayState, suspects: CrashSuspects) -> None:
         self.state = state
+        self.suspects = suspects
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -50,9 +52,15 @@
             for state in self.state.targets.values()
             if state.limit_per_s is not None
         )
+        now = self.state.clock.now()
+        states = self.state.targets.values()
         lines = [
             f"peak_memory_bytes {peak}",
             f"rate_limits_in_force {limited}",
+            f"upstreams_leaving {sum(s.is_leaving for s in states)}",
+            f"upstreams_paused {sum(s.held_until > now for s in states)}",
+            f"requests_suspected {len(self.suspects.suspects)}",
+            f"requests_held_back {len(self.suspects.held)}",
             f"store_era {self.state.store_era}",
             *self.state.metrics.lines(),
         ]
--- a/wigeongw/gateway/client_exchange.py
+++ b/wigeongw/gateway/client_exchange.py
@@ -24,6 +24,7 @@
 from wigeongw.gateway.errors import RequestError
 from wigeongw.gateway.errors import ResponseTruncatedError
 from wigeongw.gateway.forwarder import Forwarder
+from wigeongw.gateway.request import Request
 from wigeongw.gateway.request_admission import RequestAdmission
 from wigeongw.gateway.request_head import Headers
 from wigeongw.gateway.request_head import read_head
@@ -31,7 +32,6 @@
 from wigeongw.gateway.request_head import split_tokens
 from wigeongw.gateway.state import GatewayState
 from wigeongw.gateway.upstream_sender import Attempt
-from wigeongw.gateway.upstream_sender import Request
 from wigeongw.ports.dialect import Dialect
 from wigeongw.ports.errors import BodyError
 
--- a/wigeongw/gateway/forwarder.py
+++ b/wigeongw/gateway/forwarder.py
@@ -14,18 +14,22 @@
 from wigeongw.core.records import Outcome
 from wigeongw.decisions import host_limits
 from wigeongw.decisions import wait_limits
+from wigeongw.decisions.crash_suspects import Ruling
 from wigeongw.decisions.placement import Placement
+from wigeongw.gateway.crash_watch import CrashWatch
 from wigeongw.gateway.errors import OutcomeUnknownError
 from wigeongw.gateway.errors import RefusedError
 from wigeongw.gateway.placer import PlacementRequest
 from wigeongw.gateway.placer import Placer
+from wigeongw.gateway.request import Request
 from wigeongw.gateway.state import GatewayState
 from wigeongw.gateway.upstream_sender import Attempt
 from wigeongw.gateway.upstream_sender import RATE_LIMITED
-from wigeongw.gateway.upstream_sender import Request
 from wigeongw.gateway.upstream_sender import UpstreamSender
 
 HTTP_SERVER_ERROR = 500
+# Reason of the refusal of a request under which upstreams end.
+HELD_BACK = "held_back"
 # Event loop timers may fire this much early.
 MAX_TIMER_EARLY_MS = 2.0
 
@@ -73,8 +77,10 @@
         state: GatewayState,
         placer: Placer,
         sender: UpstreamSender,
+        crash_watch: CrashWatch,
     ) -> None:
         self.state = state
+        self.crash_watch = crash_watch
         self.placer = placer
         self.sender = sender
 
@@ -89,15 +95,31 @@
         """
         self.state.retry_budget(request.service).earn(self.state.clock.now())
         progress = Progress()
+        ruling = self.crash_watch.ruling(request)
+        self._check_ruling(request, ruling)
         try:
             placement = await self.placer.place(
                 self._placement_request(request, progress)
             )
+            if ruling is not Ruling.TRY:
+                # Evidence may have come while it waited.
+                self._check_ruling(request, self.crash_watch.ruling(request))
             self._start_attempt(request, progress, placement, "first")
             return await self._await_final(request, progress)
         finally:
             for task in progress.in_flight:
                 task.cancel()
+            self.crash_watch.end_request(request)
+
+    def _check_ruling(self, request: Request, ruling: Ruling) -> None:
+        """Refuse a request that is held back; nothing of it was sent.
+
+        Raises:
+            RefusedError: with the time of its next trial.
+        """
+        if ruling is Ruling.HOLD:
+            retry_after_ms = self.crash_watch.retry_after_ms(request)
+            raise RefusedError(HELD_BACK, retry_after_ms)
 
     # Retries and hedging
 
@@ -162,6 +184,8 @@
     async def _hedge(self, request: Request, progress: Progress) -> None:
         """Hedge a late request if a second upstream can finish in time."""
         progress.hedged = True
+        if self.crash_watch.ruling(request) is not Ruling.SEND:
+            return
         budget = self.state.retry_budget(request.service)
         now = self.state.clock.now()
         if budget.left(now) < 1.0 + host_limits.FAILED_RETRY_RESERVE:
@@ -197,6 +221,8 @@
         may_run_twice = request.route.idempotent
         if failed.outcome is not Outcome.NOT_RUN and not may_run_twice:
             return False
+        if self.crash_watch.ruling(request) is Ruling.HOLD:
+            return False
         if failed.sent:
             if progress.sends >= request.route.attempts:
                 return False
@@ -259,6 +285,7 @@
         progress.sends += 1
         progress.rate_limited = False
         progress.tried.add(placement.target.identity)
+        self.crash_watch.begin_send(request, placement.target.identity)
         self._log_placement(request, placement, why)
         task = asyncio.create_task(self.sender.send(request, placement))
         progress.in_flight[task] = placement
@@ -275,7 +302,7 @@
             request.arrived_at,
             request.deadline_at,
             request.overdue,
-            frozenset(progress.tried),
+            self.crash_watch.upstreams_to_avoid(request) | progress.tried,
             progress.rate_limited,
         )
 
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -29,13 +29,16 @@
 from wigeongw.decisions.memory_shares import BufferLimits
 from wigeongw.gateway.asgi import MetricsApp
 from wigeongw.gateway.asgi import PortRouter
+from wigeongw.gateway.availability_reader import AvailabilityReader
 from wigeongw.gateway.borrower import Borrower
 from wigeongw.gateway.change_log import ChangeLog
+from wigeongw.gateway.crash_watch import CrashWatch
 from wigeongw.gateway.decision_log import DecisionLog
 from wigeongw.gateway.era_catalog import EraCatalog
 from wigeongw.gateway.follower import Follower
 from wigeongw.gateway.forwarder import Forwarder
 from wigeongw.gateway.host_checker import HostChecker
+from wigeongw.gateway.notice_exchange import NoticeExchange
 from wigeongw.gateway.observation_exchange import ObservationExchange
 from wigeongw.gateway.peer_reader import PeerReader
 from wigeongw.gateway.peer_socket import PeerSocket
@@ -105,12 +108,18 @@
         self.peer_socket = PeerSocket(self.state.metrics)
         self.observations = ObservationExchange(self.state, self.peer_socket)
         limit_reader = RateLimitReader(self.state, self.dialect.names)
+        self.notices = NoticeExchange(self.state, self.peer_socket)
+        availability_reader = AvailabilityReader(
+            self.state, self.dialect.names, self.notices
+        )
+        self.crash_watch = CrashWatch(self.state, self.notices)
         self.prober = Prober(
             self.state,
             self.pool,
             self.dialect,
             self.observations,
             limit_reader,
+            availability_reader,
         )
         self.change_log = ChangeLog()
         catalog = RelayedCatalog(
@@ -133,8 +142,10 @@
             self.observations,
             limit_reader,
             RateLimiter(self.state, self.peer_socket),
+            availability_reader,
+            self.crash_watch,
         )
-        forwarder = Forwarder(self.state, placer, sender)
+        forwarder = Forwarder(self.state, placer, sender, self.crash_watch)
         ledger: MemoryLedger[Connection] = MemoryLedger(
             lambda: self.state.host_config.memory_bytes
         )
@@ -196,6 +207,8 @@
             for function in self._task_functions():
                 self._start_task(stack, function)
             stack.callback(self.observations.close)
+            stack.callback(self.notices.close)
+            stack.callback(self.crash_watch.close)
             if self.state.host_config.peer:
                 await self.peer_socket.open(self.state.host_config.peer, stack)
             server = self._listen(stack)
@@ -219,6 +232,7 @@
             self.registrar.run,
             self.pool.run,
             self.host_checker.run,
+            self.crash_watch.run,
         ]
 
     def _start_task(
@@ -249,7 +263,9 @@
                 self.state, self.change_log
             )
         if host_config.metrics_port:
-            apps[host_config.metrics_port] = MetricsApp(self.state)
+            apps[host_config.metrics_port] = MetricsApp(
+                self.state, self.crash_watch.suspects
+            )
         ip = split_address(host_config.front)[0]
         sockets = []
         for port in apps:
--- a/wigeongw/gateway/placer.py
+++ b/wigeongw/gateway/placer.py
@@ -27,6 +27,8 @@
 # How often a host considers all upstreams of a service. On a large site that
 # takes several times as long as considering the preferred ones.
 WIDE_SEARCH_INTERVAL_MS = 50.0
+# Clients return spread over this share of the pause of all upstreams.
+PAUSE_SPREAD_SHARE = 0.25
 # How often a queued request looks for a free slot.
 QUEUE_POLL_INTERVAL_MS = 8.0
 
@@ -91,8 +93,7 @@
         Raises:
             RefusedError: when no upstream has capacity in time.
         """
-        if not self.state.usable_targets(request.service):
-            raise self._refused_error(request, "no_upstream")
+        self._check_upstreams(request)
         queue = self.queues.setdefault(request.service, WaitQueue())
         self.last_sequence += 1
         entry = QueuePosition(
@@ -226,6 +227,7 @@
         try:
             while self.state.clock.now() < wait_until:
                 await asyncio.sleep(seconds(QUEUE_POLL_INTERVAL_MS))
+                self._check_upstreams(request)
                 if not queue.is_first(entry):
                     continue
                 self._check_rate_limits(request, 0, wait_until)
@@ -240,6 +242,20 @@
             request, "all_full" if has_targets else "no_upstream"
         )
 
+    def _check_upstreams(self, request: PlacementRequest) -> None:
+        """Refuse a request while no upstream may take any.
+
+        Raises:
+            RefusedError: with the end of the first pause if all pause.
+        """
+        if self.state.usable_targets(request.service):
+            return
+        pause_ms = self.state.pause_ms(request.service)
+        if pause_ms is None:
+            raise self._refused_error(request, "no_upstream")
+        spread = 1.0 + PAUSE_SPREAD_SHARE * self.state.rng.random()
+        raise self._refused_error(request, "paused", pause_ms * spread)
+
     def _check_rate_limits(
         self, request: PlacementRequest, ahead: int, wait_until: float
     ) -> None:
--- a/wigeongw/gateway/prober.py
+++ b/wigeongw/gateway/prober.py
@@ -7,6 +7,7 @@
 from wigeongw.adapters.upstream_pool import UpstreamPool
 from wigeongw.core.clock import seconds
 from wigeongw.decisions import placement as placements
+from wigeongw.gateway.availability_reader import AvailabilityReader
 from wigeongw.gateway.observation_exchange import ObservationExchange
 from wigeongw.gateway.rate_limit_reader import RateLimitReader
 from wigeongw.gateway.state import GatewayState
@@ -36,9 +37,11 @@
         dialect: Dialect,
         observations: ObservationExchange,
         limit_reader: RateLimitReader,
+        availability_reader: AvailabilityReader,
     ) -> None:
         self.state = state
         self.limit_reader = limit_reader
+        self.availability_reader = availability_reader
         self.observations = observations
         self.pool = pool
         self.dialect = dialect
@@ -129,6 +132,7 @@
             return
         target.record_reachable()
         self.limit_reader.read(target, reply, ResponseKind.PROBE, sent_at)
+        self.availability_reader.read(target, reply)
         healthy = reply.status == HTTP_OK
         sample = self.dialect.load(
             reply.fields, now, healthy, ResponseKind.PROBE
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -34,6 +34,10 @@
 from wigeongw.gateway.target_state import TargetState
 from wigeongw.ports.catalog import UNKNOWN_ERA
 
+# Identity, address and time of birth.
+UpstreamStart = tuple[str, str, float]
+# Upstreams that left are remembered up to this number.
+MAX_LEAVING = 2_000
 # Older samples do not count for the utilization of a service.
 MAX_UTILIZATION_SAMPLE_AGE_MS = 1_000.0
 
@@ -64,6 +68,8 @@
             host that this one asks for others, monotonic clock.
         relay_plan: who asks whom for changes, by the hosts of the view.
         store_era: the highest era of the store that this host knows.
+        leaving: starts of upstreams that said that they leave, oldest first;
+            kept apart from the view, which may lose and regain their entries.
         store_returned: set, and then replaced, when the store answers again
             and when the view is of a new era of the store.
     """
@@ -102,6 +108,7 @@
         self.store_era = UNKNOWN_ERA
         self.relay_plan = relay_selection.make_plan(())
         self.store_returned = asyncio.Event()
+        self.leaving: dict[UpstreamStart, None] = {}
 
     @property
     def ready(self) -> bool:
@@ -206,19 +213,55 @@
         return configuration.services.get(name) if configuration else None
 
     def is_usable(self, state: TargetState) -> bool:
-        """Return whether an upstream may receive requests.
+        """Return whether an upstream may receive requests now.
 
-        It may not if it was removed or is draining, if its address belongs
-        to another upstream, or if its availability zone is evacuated.
+        It may not while it pauses, nor if one of the reasons of
+        ``is_in_service`` stands against it.
+        """
+        is_held = state.held_until > self.clock.now()
+        return not is_held and self.is_in_service(state)
+
+    def is_in_service(self, state: TargetState) -> bool:
+        """Return whether an upstream may receive requests at some time.
+
+        It may not if it was removed, is draining or leaves, if its address
+        belongs to another upstream, or if its availability zone is evacuated.
         """
         target = state.target
         return (
             self.targets.get(target.identity) is state
             and not target.draining
+            and not state.is_leaving
             and not state.misdirected
             and target.availability_zone not in self.view.evacuated
         )
 
+    def mark_leaving(self, state: TargetState) -> bool:
+        """Record that an upstream said that it leaves.
+
+        Returns:
+            Whether this was not known.
+        """
+        if state.is_leaving:
+            return False
+        state.is_leaving = True
+        self.leaving[_start_of(state.target)] = None
+        while len(self.leaving) > MAX_LEAVING:
+            del self.leaving[next(iter(self.leaving))]
+        return True
+
+    def pause_ms(self, service: str) -> float | None:
+        """Return when the first upstream that pauses takes requests again.
+
+        Returns:
+            Milliseconds from now; None unless all upstreams in service pause.
+        """
+        states = self.targets_by_service.get(service, [])
+        serving = [s for s in states if self.is_in_service(s)]
+        ends_at = min((s.held_until for s in serving), default=0.0)
+        pause_ms = ends_at - self.clock.now()
+        return pause_ms if pause_ms > 0.0 else None
+
     def usable_targets(self, service: str) -> list[TargetState]:
         """Return the upstreams of a service that may receive requests."""
         states = self.targets_by_service.get(service, [])
@@ -406,9 +449,15 @@
             self.shares.new_probe_bucket(target),
             self.shares.new_cold_bucket(target),
             cold_until=self.clock.now() + target.cold_left_ms,
+            is_leaving=_start_of(target) in self.leaving,
         )
 
 
+def _start_of(target: Target) -> UpstreamStart:
+    """Return what tells one start of an upstream from another."""
+    return target.identity, target.address, target.born_ms
+
+
 def _is_other_start(known: Target, found: Target) -> bool:
     """Return whether an upstream was restarted since it was last seen."""
     return known.address != found.address or known.born_ms != found.born_ms
--- a/wigeongw/gateway/target_state.py
+++ b/wigeongw/gateway/target_state.py
@@ -25,6 +25,17 @@
 REPORT_AGAIN_SHARE = 0.5
 
 
+@dataclass(slots=True, eq=False)
+class Flight:
+    """A request of this host that an upstream has.
+
+    Attributes:
+        is_alone: whether it was the only one all the time.
+    """
+
+    is_alone: bool
+
+
 @dataclass(slots=True)
 class TargetState:
     """What this host knows about one upstream.
@@ -53,6 +64,10 @@
             named a limit.
         denied_until: by grantor, the time until which it is not asked for a
             request to this upstream.
+        is_leaving: whether it said that it leaves; only another start of it
+            gets requests again.
+        held_until: end of the pause that it asked this host for.
+        flights: this host's requests that it has.
     """
 
     target: Target
@@ -76,6 +91,17 @@
     in_subset: bool = True
     rate_limit: RateLimit | None = None
     denied_until: dict[str, float] = field(default_factory=dict)
+    is_leaving: bool = False
+    held_until: float = float("-inf")
+    flights: set["Flight"] = field(default_factory=set)
+
+    def begin_flight(self) -> "Flight":
+        """Record a request that is being sent to it."""
+        flight = Flight(is_alone=not self.flights)
+        for other in self.flights:
+            other.is_alone = False
+        self.flights.add(flight)
+        return flight
 
     def is_silent(self, now: float) -> bool:
         """Return whether it stopped answering and has not answered since.
--- a/wigeongw/gateway/upstream_sender.py
+++ b/wigeongw/gateway/upstream_sender.py
@@ -11,11 +11,13 @@
 from wigeongw.adapters.upstream_connection import UpstreamConnection
 from wigeongw.adapters.upstream_pool import UpstreamPool
 from wigeongw.core.records import Outcome
-from wigeongw.core.site import Route
 from wigeongw.decisions.placement import Placement
+from wigeongw.gateway.availability_reader import AvailabilityReader
+from wigeongw.gateway.crash_watch import CrashWatch
 from wigeongw.gateway.observation_exchange import ObservationExchange
 from wigeongw.gateway.rate_limit_reader import RateLimitReader
 from wigeongw.gateway.rate_limiter import RateLimiter
+from wigeongw.gateway.request import Request
 from wigeongw.gateway.state import GatewayState
 from wigeongw.gateway.target_state import TargetState
 from wigeongw.ports.dialect import Dialect
@@ -33,33 +35,6 @@
 RATE_LIMITED = "rate_limited"
 
 
-@dataclass(frozen=True, slots=True)
-class Request:
-    """A client's request, read completely.
-
-    Times are in milliseconds on the monotonic clock.
-
-    Attributes:
-        request_id: ID that the client sent; empty when it sent none.
-        target: path and query, byte for byte as received.
-        headers: end-to-end headers, names in lower case.
-        arrived_at: when its head was read.
-        deadline_at: when the client must have a response.
-        overdue: whether it can no longer meet its latency objective.
-    """
-
-    request_id: str
-    method: str
-    target: bytes
-    headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes | bytearray
-    route: Route
-    service: str
-    arrived_at: float
-    deadline_at: float
-    overdue: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """The result of sending a request to one upstream.
@@ -91,8 +66,12 @@
         observations: ObservationExchange,
         limit_reader: RateLimitReader,
         rate_limiter: RateLimiter,
+        availability_reader: AvailabilityReader,
+        crash_watch: CrashWatch,
     ) -> None:
         self.state = state
+        self.availability_reader = availability_reader
+        self.crash_watch = crash_watch
         self.limit_reader = limit_reader
         self.rate_limiter = rate_limiter
         self.pool = pool
@@ -116,6 +95,7 @@
             return _unsent(placement, RATE_LIMITED)
         sent_at = self.state.clock.now()
         state.in_flight_since.append(sent_at)
+        flight = state.begin_flight()
         self.observations.report_send(state)
         slowdown = state.sample.slowdown if state.sample else 1.0
         try:
@@ -135,9 +115,14 @@
                 request.method == "HEAD",
             )
         except ExchangeError as error:
+            if error.sent and error.is_broken:
+                self.crash_watch.check_upstream(
+                    state, request, flight.is_alone
+                )
             return self._failed_attempt(placement, state, error)
         finally:
             state.in_flight_since.remove(sent_at)
+            state.flights.discard(flight)
         elapsed_ms = self.state.clock.now() - sent_at
         attempt = self._classify_response(
             request, placement, state, reply, connection, sent_at
@@ -195,6 +180,7 @@
             self.limit_reader.read(
                 state, reply, response_kind, sent_at, request.request_id
             )
+            self.availability_reader.read(state, reply, request.request_id)
         if rejected or reply.status in NOT_RUN_STATUSES:
             state.record_outcome(True, now)
             if reply.rest is not None:
@@ -208,6 +194,7 @@
         if defect:
             connection.close()
             return Attempt(placement, None, Outcome.UNKNOWN, True, defect)
+        self.crash_watch.record_answer(request)
         return Attempt(
             placement, reply, Outcome.RAN, True, "answered", connection
         )
--- a/wigeongw/ports/dialect.py
+++ b/wigeongw/ports/dialect.py
@@ -30,6 +30,7 @@
         instance: identity of the upstream that responds.
         rate_limit: requests per second that the upstream takes from all hosts
             together.
+        leaving: ``1`` in all responses of an upstream that leaves.
     """
 
     request_id: str
@@ -39,6 +40,7 @@
     not_run: str
     instance: str
     rate_limit: str
+    leaving: str
 
 
 class Dialect(Protocol):
