A service's version is brought in by phases, and taken back when it is bad

Cause: nothing of it existed; a new version's upstreams got requests before any order, and no order was ever complete. Change: decisions/rollout (phases, verdict), gateway/rollout_traffic (which version a request goes to), gateway/rollout_manager (conditional writes of the status, totals of all hosts), orders and statuses in the catalog and between hosts.

--- a/wigeongw/adapters/change_codec.py
+++ b/wigeongw/adapters/change_codec.py
@@ -10,6 +10,8 @@
 from wigeongw.core.site import ClientLimits
 from wigeongw.core.site import Configuration
 from wigeongw.core.site import Host
+from wigeongw.core.site import RolloutOrder
+from wigeongw.core.site import RolloutStatus
 from wigeongw.core.site import Route
 from wigeongw.core.site import RouteKind
 from wigeongw.core.site import Service
@@ -110,6 +112,20 @@
     return ZoneRestored(_zone(fields))
 
 
+@register_decoder(RolloutOrder)
+def _decode_rollout_order(fields: JsonObject) -> Change:
+    order = RolloutOrder(**fields)
+    site_checks.check(order)
+    return order
+
+
+@register_decoder(RolloutStatus)
+def _decode_rollout_status(fields: JsonObject) -> Change:
+    status = RolloutStatus(**fields)
+    site_checks.check(status)
+    return status
+
+
 @register_decoder(Configuration)
 def _decode_configuration(fields: JsonObject) -> Change:
     configuration = Configuration(
--- a/wigeongw/adapters/memory_catalog.py
+++ b/wigeongw/adapters/memory_catalog.py
@@ -6,6 +6,7 @@
 
 from wigeongw.core.clock import seconds
 from wigeongw.core.site import Host
+from wigeongw.core.site import RolloutStatus
 from wigeongw.decisions import site_view
 from wigeongw.decisions.site_view import SiteView
 from wigeongw.ports.catalog import CatalogError
@@ -16,8 +17,8 @@
 from wigeongw.ports.catalog import Lease
 from wigeongw.ports.catalog import LeaseLostError
 from wigeongw.ports.catalog import StoreConnectionError
+from wigeongw.ports.catalog import StoredStatus
 from wigeongw.ports.catalog import StorePosition
-from wigeongw.ports.catalog import ZoneEvacuated
 
 # Watches that wait less are not cut.
 MIN_CUT_WAIT_MS = 5.0
@@ -84,13 +85,8 @@
     async def read(self, fresh: bool) -> ChangeBatch:
         """Return the whole current state."""
         self._begin_call()
-        changes: list[Change] = []
-        if self.view.configuration is not None:
-            changes.append(self.view.configuration)
-        changes.extend(self.view.targets.values())
-        changes.extend(self.view.hosts.values())
-        changes.extend(ZoneEvacuated(z) for z in self.view.evacuated)
-        return ChangeBatch(tuple(changes), self._position(), is_full=True)
+        changes = tuple(site_view.entries(self.view).values())
+        return ChangeBatch(changes, self._position(), is_full=True)
 
     async def watch(
         self, position: StorePosition, wait_ms: float
@@ -137,6 +133,23 @@
         if entry is not None and entry.lease == lease.number:
             await self.publish(HostGone(entry.name))
 
+    async def read_status(self, service: str) -> StoredStatus:
+        """Return the status of an order; its phase serves as revision."""
+        self._begin_call()
+        status = self.view.statuses.get(service)
+        revision = status.phase + 1 if status is not None else 0
+        return StoredStatus(status, revision, self.era)
+
+    async def write_status(
+        self, status: RolloutStatus, replaced: StoredStatus
+    ) -> bool:
+        """Write a status in place of another one."""
+        current = await self.read_status(status.service)
+        if current != replaced:
+            return False
+        await self.publish(status)
+        return True
+
     async def cut_watches(self, enabled: bool) -> None:
         """Begin or stop to cut the watches that wait."""
         self.cuts_watches = enabled
--- a/wigeongw/adapters/notice_codec.py
+++ b/wigeongw/adapters/notice_codec.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import astuple
 from dataclasses import dataclass
 import struct
 
@@ -21,6 +22,8 @@
 ENDED_STRUCT = struct.Struct(f"!{FINGERPRINT_BYTES}sI?")
 HELD_STRUCT = struct.Struct(f"!{FINGERPRINT_BYTES}sB")
 CLEARED_STRUCT = struct.Struct(f"!{FINGERPRINT_BYTES}s")
+ANSWERS_STRUCT = struct.Struct("!IIIII?III")
+REJECTED_STRUCT = struct.Struct("!II")
 
 
 class NoticeError(WigeongwError):
@@ -74,7 +77,46 @@
     fingerprint: bytes
 
 
-Notice = UpstreamLeaving | UpstreamEnded | RequestHeld | RequestCleared
+@dataclass(frozen=True, slots=True)
+class VersionAnswers:
+    """A host's answers of one version of a service on one route.
+
+    Names are 32-bit hashes. The figures are totals since the order.
+
+    Attributes:
+        host: the host.
+        boot: tells its starts apart.
+        version: the version of the order.
+        is_new: whether the answers are those of that version.
+    """
+
+    host: int
+    boot: int
+    version: int
+    service: int
+    route: int
+    is_new: bool
+    total: int
+    failed: int
+    slow: int
+
+
+@dataclass(frozen=True, slots=True)
+class VersionRejected:
+    """A version of a service was found bad; names are 32-bit hashes."""
+
+    service: int
+    version: int
+
+
+Notice = (
+    UpstreamLeaving
+    | UpstreamEnded
+    | RequestHeld
+    | RequestCleared
+    | VersionAnswers
+    | VersionRejected
+)
 Decoder = Callable[[bytes, int], tuple[Notice, int]]
 DECODERS: dict[int, Decoder] = {}
 
@@ -134,6 +176,10 @@
             return b"h" + HELD_STRUCT.pack(notice.fingerprint, ends)
         case RequestCleared():
             return b"c" + CLEARED_STRUCT.pack(notice.fingerprint)
+        case VersionAnswers():
+            return b"a" + ANSWERS_STRUCT.pack(*astuple(notice))
+        case VersionRejected():
+            return b"r" + REJECTED_STRUCT.pack(*astuple(notice))
 
 
 @register_decoder(ord("l"))
@@ -158,3 +204,15 @@
 def _decode_cleared(data: bytes, offset: int) -> tuple[Notice, int]:
     fields = CLEARED_STRUCT.unpack_from(data, offset)
     return RequestCleared(*fields), offset + CLEARED_STRUCT.size
+
+
+@register_decoder(ord("a"))
+def _decode_answers(data: bytes, offset: int) -> tuple[Notice, int]:
+    fields = ANSWERS_STRUCT.unpack_from(data, offset)
+    return VersionAnswers(*fields), offset + ANSWERS_STRUCT.size
+
+
+@register_decoder(ord("r"))
+def _decode_rejected(data: bytes, offset: int) -> tuple[Notice, int]:
+    fields = REJECTED_STRUCT.unpack_from(data, offset)
+    return VersionRejected(*fields), offset + REJECTED_STRUCT.size
--- a/wigeongw/core/site.py
+++ b/wigeongw/core/site.py
@@ -121,6 +121,7 @@
         draining: whether it asked to receive no further requests.
         cold_left_ms: remaining warm-up time at registration.
         born_ms: wall clock time of its start; 0 when not reported.
+        version: version of its software; empty when not reported.
     """
 
     identity: str
@@ -131,6 +132,37 @@
     draining: bool = False
     cold_left_ms: float = 0.0
     born_ms: float = 0.0
+    version: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutOrder:
+    """An operator's order to move a service to another version.
+
+    Attributes:
+        version: version of the upstreams that take the service over.
+        duration_ms: time in which that is to be complete.
+    """
+
+    service: str
+    version: str
+    duration_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutStatus:
+    """How far an order has come, as its manager wrote it to the store.
+
+    Attributes:
+        version: version of the order.
+        phase: number of the phase; phases only rise.
+        ordered_at_ms: wall clock time at which the first manager saw it.
+    """
+
+    service: str
+    version: str
+    phase: int
+    ordered_at_ms: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/wigeongw/core/site_checks.py
+++ b/wigeongw/core/site_checks.py
@@ -18,6 +18,8 @@
 from wigeongw.core.site import ClientLimits
 from wigeongw.core.site import Configuration
 from wigeongw.core.site import Host
+from wigeongw.core.site import RolloutOrder
+from wigeongw.core.site import RolloutStatus
 from wigeongw.core.site import Route
 from wigeongw.core.site import RouteKind
 from wigeongw.core.site import Service
@@ -29,6 +31,7 @@
 MAX_NAME_CHARS = 1_000
 MAX_PORT = 65_535
 MAX_SLOTS = 1_000_000
+MAX_PHASE = 5
 MAX_COUNT = 1 << 53
 # A year; durations beyond it are taken for errors.
 MAX_DURATION_MS = 366 * 24 * 3_600_000.0
@@ -119,6 +122,22 @@
     check_flag("draining", record.draining)
     check_number("cold_left_ms", record.cold_left_ms, MAX_DURATION_MS)
     check_number("born_ms", record.born_ms, MAX_COUNT)
+    check_name("version", record.version)
+
+
+@check.register
+def _(record: RolloutOrder) -> None:
+    check_name("service", record.service)
+    check_name("version", record.version)
+    check_number("duration_ms", record.duration_ms, MAX_DURATION_MS)
+
+
+@check.register
+def _(record: RolloutStatus) -> None:
+    check_name("service", record.service)
+    check_name("version", record.version)
+    check_integer("phase", record.phase, highest=MAX_PHASE)
+    check_number("ordered_at_ms", record.ordered_at_ms, MAX_COUNT)
 
 
 @check.register
--- a/wigeongw/decisions/site_view.py
+++ b/wigeongw/decisions/site_view.py
@@ -17,6 +17,8 @@
 
 from wigeongw.core.site import Configuration
 from wigeongw.core.site import Host
+from wigeongw.core.site import RolloutOrder
+from wigeongw.core.site import RolloutStatus
 from wigeongw.core.site import Target
 from wigeongw.ports.catalog import Change
 from wigeongw.ports.catalog import HostGone
@@ -35,8 +37,18 @@
 MAX_DEPARTED = 2_000
 Removal = TargetGone | HostGone
 Entry = Target | Host
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutSubject:
+    """What an order, or its status, is about."""
+
+    kind: type
+    service: str
+
+
 # What a change is about: two changes with the same subject exclude each other.
-Subject = TargetGone | HostGone | ZoneRestored | None
+Subject = TargetGone | HostGone | ZoneRestored | RolloutSubject | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +85,8 @@
         targets: upstreams by identity.
         hosts: entry hosts by name.
         evacuated: availability zones that are out of service.
+        orders: the last order to change a service's version, by service.
+        statuses: the statuses of these orders, by service.
         position: the position in the store that the view reflects.
         store_responded_ms: when the store last responded, monotonic clock.
         pending: changes that were read and take effect later, by subject.
@@ -85,6 +99,8 @@
     targets: dict[str, Target] = field(default_factory=dict)
     hosts: dict[str, Host] = field(default_factory=dict)
     evacuated: frozenset[str] = frozenset()
+    orders: dict[str, RolloutOrder] = field(default_factory=dict)
+    statuses: dict[str, RolloutStatus] = field(default_factory=dict)
     position: StorePosition = NOTHING_READ
     store_responded_ms: float = 0.0
     pending: dict[Subject, ScheduledChange] = field(default_factory=dict)
@@ -172,6 +188,8 @@
     """Return all that a view holds as changes, by subject."""
     changes: list[Change] = [*view.targets.values(), *view.hosts.values()]
     changes.extend(ZoneEvacuated(zone) for zone in sorted(view.evacuated))
+    changes.extend(view.orders.values())
+    changes.extend(view.statuses.values())
     if view.configuration is not None:
         changes.append(view.configuration)
     return {subject_of(change): change for change in changes}
@@ -191,6 +209,8 @@
             return ZoneRestored(change.availability_zone)
         case TargetGone() | HostGone() | ZoneRestored():
             return change
+        case RolloutOrder() | RolloutStatus():
+            return RolloutSubject(type(change), change.service)
     return None
 
 
@@ -306,3 +326,20 @@
 def _(change: ZoneRestored, view: SiteView) -> SiteView:
     evacuated = view.evacuated - {change.availability_zone}
     return replace(view, evacuated=evacuated)
+
+
+@_apply.register
+def _(change: RolloutOrder, view: SiteView) -> SiteView:
+    return replace(view, orders={**view.orders, change.service: change})
+
+
+@_apply.register
+def _(change: RolloutStatus, view: SiteView) -> SiteView:
+    current = view.statuses.get(change.service)
+    if (
+        current is not None
+        and current.version == change.version
+        and current.phase >= change.phase
+    ):
+        return view
+    return replace(view, statuses={**view.statuses, change.service: change})
--- a/wigeongw/gateway/asgi.py
+++ b/wigeongw/gateway/asgi.py
@@ -62,6 +62,10 @@
             f"requests_suspected {len(self.suspects.suspects)}",
             f"requests_held_back {len(self.suspects.held)}",
             f"store_era {self.state.store_era}",
+            *(
+                f"rollout_phase {service} {self.state.rollouts.phase(service)}"
+                for service in sorted(self.state.rollouts.orders)
+            ),
             *self.state.metrics.lines(),
         ]
         await send_text(send, 200, "text/plain", "\n".join(lines) + "\n")
--- a/wigeongw/gateway/forwarder.py
+++ b/wigeongw/gateway/forwarder.py
@@ -22,6 +22,7 @@
 from wigeongw.gateway.placer import PlacementRequest
 from wigeongw.gateway.placer import Placer
 from wigeongw.gateway.request import Request
+from wigeongw.gateway.rollout_traffic import VersionChoice
 from wigeongw.gateway.state import GatewayState
 from wigeongw.gateway.upstream_sender import Attempt
 from wigeongw.gateway.upstream_sender import RATE_LIMITED
@@ -45,6 +46,8 @@
         in_flight: unfinished attempts and their placements.
         hedged: whether hedging was already considered.
         rate_limited: whether the last attempt was denied by a rate limit.
+        versions: the upstreams of a service with two versions that the next
+            send may go to.
         refusal: why no upstream took the request after a failed attempt.
     """
 
@@ -56,6 +59,7 @@
     )
     hedged: bool = False
     rate_limited: bool = False
+    versions: VersionChoice = VersionChoice.ANY
     refusal: RefusedError | None = None
 
     def forget(self, unsent: Attempt) -> None:
@@ -95,6 +99,7 @@
         """
         self.state.retry_budget(request.service).earn(self.state.clock.now())
         progress = Progress()
+        progress.versions = self.state.rollouts.choose(request.service)
         ruling = self.crash_watch.ruling(request)
         self._check_ruling(request, ruling)
         try:
@@ -284,6 +289,7 @@
     ) -> None:
         progress.sends += 1
         progress.rate_limited = False
+        progress.versions = VersionChoice.ANY
         progress.tried.add(placement.target.identity)
         self.crash_watch.begin_send(request, placement.target.identity)
         self._log_placement(request, placement, why)
@@ -304,6 +310,7 @@
             request.overdue,
             self.crash_watch.upstreams_to_avoid(request) | progress.tried,
             progress.rate_limited,
+            progress.versions,
         )
 
     def _log_placement(
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -50,9 +50,11 @@
 from wigeongw.gateway.registrar import Registrar
 from wigeongw.gateway.relay import RelayApp
 from wigeongw.gateway.relayed_catalog import RelayedCatalog
+from wigeongw.gateway.rollout_manager import RolloutManager
 from wigeongw.gateway.state import GatewayState
 from wigeongw.gateway.upstream_sender import UpstreamSender
 from wigeongw.ports.catalog import Catalog
+from wigeongw.ports.catalog import StatusStore
 from wigeongw.ports.dialect import Dialect
 
 # Share of the grace period after SIGTERM during which the host certainly
@@ -74,12 +76,15 @@
         platform_apps: takes the host's state and returns the ASGI
             applications for the readiness and directory ports.
         session: HTTP client for requests to other hosts.
+        statuses: where the statuses of version changes are kept; None if the
+            platform orders none.
     """
 
     catalog: Catalog
     dialect: Dialect
     platform_apps: Any
     session: aiohttp.ClientSession
+    statuses: StatusStore | None = None
 
 
 class GatewayHost:
@@ -113,6 +118,9 @@
             self.state, self.dialect.names, self.notices
         )
         self.crash_watch = CrashWatch(self.state, self.notices)
+        self.rollout_manager = RolloutManager(
+            self.state, self.notices, dependencies.statuses
+        )
         self.prober = Prober(
             self.state,
             self.pool,
@@ -233,6 +241,7 @@
             self.pool.run,
             self.host_checker.run,
             self.crash_watch.run,
+            self.rollout_manager.run,
         ]
 
     def _start_task(
--- a/wigeongw/gateway/host_case.py
+++ b/wigeongw/gateway/host_case.py
@@ -267,7 +267,11 @@
             peer,
         )
         dependencies = HostDependencies(
-            self.catalog, NativeDialect(), lambda state: {}, self.session
+            self.catalog,
+            NativeDialect(),
+            lambda state: {},
+            self.session,
+            self.catalog,
         )
         host = GatewayHost(
             host_config, dependencies, Clock(), random.Random(5 + number)
--- a/wigeongw/gateway/notice_exchange.py
+++ b/wigeongw/gateway/notice_exchange.py
@@ -63,6 +63,14 @@
             for address in chosen:
                 self.socket.send(data, address)
 
+    def tell_host(self, name: str, notices: list[Notice]) -> None:
+        """Send notices once to one other host, if its address is known."""
+        address = self.state.peer_addresses.get(name)
+        if address is None:
+            return
+        for start in range(0, len(notices), notice_codec.MAX_NOTICES):
+            self.socket.send(notice_codec.encode(notices[start:]), address)
+
     def on_datagram(self, data: bytes, address: UdpAddress) -> None:
         """Pass on what another host makes known."""
         if address[0] not in self.state.peer_ips:
--- a/wigeongw/gateway/placer.py
+++ b/wigeongw/gateway/placer.py
@@ -17,6 +17,7 @@
 from wigeongw.decisions.queue_order import QueuePosition
 from wigeongw.gateway.errors import RefusedError
 from wigeongw.gateway.prober import Prober
+from wigeongw.gateway.rollout_traffic import VersionChoice
 from wigeongw.gateway.state import GatewayState
 from wigeongw.gateway.target_state import TargetState
 
@@ -56,6 +57,8 @@
         deadline_at: when the client must have a response.
         overdue: whether it can no longer meet its latency objective.
         tried: identities of the upstreams it was already sent to.
+        versions: the upstreams of a service with two versions that it may go
+            to.
         skip_limited: whether to skip upstreams with a rate limit, as one of
             them has just denied the request. It then waits for no other.
     """
@@ -68,6 +71,7 @@
     overdue: bool = False
     tried: frozenset[str] = frozenset()
     skip_limited: bool = False
+    versions: VersionChoice = VersionChoice.ANY
 
 
 class Placer:
@@ -93,6 +97,12 @@
         Raises:
             RefusedError: when no upstream has capacity in time.
         """
+        if request.versions is VersionChoice.CANARY:
+            canaries = self.state.canary_targets(request.service)
+            placement = await self._probe_and_choose(request, canaries)
+            if placement is not None:
+                return self._check_deadline(request, placement)
+            request = replace(request, versions=VersionChoice.ANY)
         self._check_upstreams(request)
         queue = self.queues.setdefault(request.service, WaitQueue())
         self.last_sequence += 1
@@ -145,6 +155,13 @@
             if state.target.identity not in request.tried
             and not (request.skip_limited and state.limit_per_s is not None)
         ]
+        if request.versions is not VersionChoice.ANY:
+            rollouts = self.state.rollouts
+            states = [
+                state
+                for state in states
+                if rollouts.allows(request.versions, state.target)
+            ] or states
         if not states:
             return None
         work_ms = self.state.work_estimate(
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -31,6 +31,7 @@
 from wigeongw.gateway.decision_log import DecisionLog
 from wigeongw.gateway.grantor_directory import GrantorDirectory
 from wigeongw.gateway.limit_shares import LimitShares
+from wigeongw.gateway.rollout_traffic import RolloutTraffic
 from wigeongw.gateway.target_state import TargetState
 from wigeongw.ports.catalog import UNKNOWN_ERA
 
@@ -68,6 +69,7 @@
             host that this one asks for others, monotonic clock.
         relay_plan: who asks whom for changes, by the hosts of the view.
         store_era: the highest era of the store that this host knows.
+        rollouts: which version of a service requests go to.
         leaving: starts of upstreams that said that they leave, oldest first;
             kept apart from the view, which may lose and regain their entries.
         store_returned: set, and then replaced, when the store answers again
@@ -109,6 +111,7 @@
         self.relay_plan = relay_selection.make_plan(())
         self.store_returned = asyncio.Event()
         self.leaving: dict[UpstreamStart, None] = {}
+        self.rollouts = RolloutTraffic(clock, rng)
 
     @property
     def ready(self) -> bool:
@@ -135,9 +138,13 @@
         removed = []
         if view.targets is not old.targets:
             removed = self._apply_targets()
+        has_rollouts = view.orders or view.statuses
+        if has_rollouts:
+            self.rollouts.update(view)
         if (
             view.targets is not old.targets
             or view.evacuated is not old.evacuated
+            or has_rollouts
         ):
             self._choose_subsets()
         self.shares.update(self.targets.values())
@@ -145,6 +152,11 @@
             self.announce_store_return()
         return removed
 
+    def apply_rollouts(self) -> None:
+        """Apply what has become known of an order apart from the view."""
+        self.rollouts.update(self.view)
+        self._choose_subsets()
+
     def announce_store_return(self) -> None:
         """Wake the tasks that wait for the store to answer again."""
         self.store_returned.set()
@@ -234,6 +246,7 @@
             and not state.is_leaving
             and not state.misdirected
             and target.availability_zone not in self.view.evacuated
+            and not self.rollouts.is_barred(target)
         )
 
     def mark_leaving(self, state: TargetState) -> bool:
@@ -263,9 +276,27 @@
         return pause_ms if pause_ms > 0.0 else None
 
     def usable_targets(self, service: str) -> list[TargetState]:
-        """Return the upstreams of a service that may receive requests."""
+        """Return the upstreams of a service that may receive requests.
+
+        Those of a canary are left out, and the old ones while the new version
+        has all requests, unless there are no others.
+        """
+        states = self.targets_by_service.get(service, [])
+        usable = [state for state in states if self.is_usable(state)]
+        if service not in self.rollouts.orders:
+            return usable
+        usable = [s for s in usable if not self.rollouts.is_canary(s.target)]
+        new = [s for s in usable if not self.rollouts.is_old_in_full(s.target)]
+        return new or usable
+
+    def canary_targets(self, service: str) -> list[TargetState]:
+        """Return the usable upstreams that get a canary's requests."""
         states = self.targets_by_service.get(service, [])
-        return [state for state in states if self.is_usable(state)]
+        return [
+            state
+            for state in states
+            if self.rollouts.is_canary(state.target) and self.is_usable(state)
+        ]
 
     def preferred_targets(self, service: str) -> list[TargetState]:
         """Return the usable upstreams that this host considers for requests.
--- a/wigeongw/gateway/upstream_sender.py
+++ b/wigeongw/gateway/upstream_sender.py
@@ -11,6 +11,7 @@
 from wigeongw.adapters.upstream_connection import UpstreamConnection
 from wigeongw.adapters.upstream_pool import UpstreamPool
 from wigeongw.core.records import Outcome
+from wigeongw.decisions import rollout
 from wigeongw.decisions.placement import Placement
 from wigeongw.gateway.availability_reader import AvailabilityReader
 from wigeongw.gateway.crash_watch import CrashWatch
@@ -119,6 +120,8 @@
                 self.crash_watch.check_upstream(
                     state, request, flight.is_alone
                 )
+            if error.sent:
+                self._count_version(request, placement, state, True, 0.0)
             return self._failed_attempt(placement, state, error)
         finally:
             state.in_flight_since.remove(sent_at)
@@ -127,11 +130,32 @@
         attempt = self._classify_response(
             request, placement, state, reply, connection, sent_at
         )
+        if attempt.outcome is not Outcome.NOT_RUN:
+            failed = attempt.reply is None or reply.status >= HTTP_SERVER_ERROR
+            self._count_version(request, placement, state, failed, elapsed_ms)
         if attempt.reply is not None and reply.status < HTTP_SERVER_ERROR:
             estimate = self.state.work_estimate(request.route, request.service)
             estimate.learn(elapsed_ms, slowdown)
         return attempt
 
+    def _count_version(
+        self,
+        request: Request,
+        placement: Placement,
+        state: TargetState,
+        failed: bool,
+        elapsed_ms: float,
+    ) -> None:
+        """Count an answer, in case its service changes its version."""
+        is_cold = state.cold_until > self.state.clock.now()
+        limit_ms = rollout.SLOW_FACTOR * placement.expected_ms
+        self.state.rollouts.record(
+            placement.target,
+            request.route.name,
+            failed,
+            not is_cold and elapsed_ms > limit_ms,
+        )
+
     def _failed_attempt(
         self, placement: Placement, state: TargetState, error: ExchangeError
     ) -> Attempt:
--- a/wigeongw/ports/catalog.py
+++ b/wigeongw/ports/catalog.py
@@ -11,6 +11,8 @@
 from wigeongw.core.errors import WigeongwError
 from wigeongw.core.site import Configuration
 from wigeongw.core.site import Host
+from wigeongw.core.site import RolloutOrder
+from wigeongw.core.site import RolloutStatus
 from wigeongw.core.site import Target
 
 # Era of an answer that names none, or none that can be read.
@@ -121,6 +123,8 @@
     | HostGone
     | ZoneEvacuated
     | ZoneRestored
+    | RolloutOrder
+    | RolloutStatus
 )
 
 
@@ -212,3 +216,37 @@
 
     async def withdraw(self, lease: Lease) -> None:
         """Revoke a lease, which removes the host's entry."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoredStatus:
+    """The status of an order as the store has it.
+
+    Attributes:
+        status: None when there is none, or none that can be read.
+        revision: the store's revision of it; 0 when there is none.
+        era: the era of the answer.
+    """
+
+    status: RolloutStatus | None
+    revision: int
+    era: int
+
+
+class StatusStore(Protocol):
+    """Reads and writes the status of orders, one conditional step at a time.
+
+    Both methods raise CatalogError when the store fails to respond.
+    """
+
+    async def read_status(self, service: str) -> StoredStatus:
+        """Return the status of a service's order."""
+
+    async def write_status(
+        self, status: RolloutStatus, replaced: StoredStatus
+    ) -> bool:
+        """Write a status in place of the one that was read.
+
+        Returns:
+            False when another one has been written meanwhile.
+        """
