Client accounts: keys, names for upstreams, quotas over all hosts, fair turns

Cause: nothing of it existed; keys went on to upstreams, and any key was taken. Change: accounts in the configuration, known by digests of their keys (decisions/accounts); 401, the name set for upstreams, public routes; quotas by a grantor in each zone (decisions/quota, gateway/quota_limiter, datagrams of their own); an account's priority before the route's and start-time fair turns (decisions/fair_order). Deployments without accounts keep their headers and their order.

--- a/wigeongw/adapters/change_codec.py
+++ b/wigeongw/adapters/change_codec.py
@@ -7,6 +7,7 @@
 
 from wigeongw.core import site_checks
 from wigeongw.core.errors import WigeongwError
+from wigeongw.core.site import ClientAccount
 from wigeongw.core.site import ClientLimits
 from wigeongw.core.site import Configuration
 from wigeongw.core.site import Host
@@ -133,6 +134,9 @@
         routes=tuple(_decode_route(route) for route in fields["routes"]),
         services={k: Service(**v) for k, v in fields["services"].items()},
         limits=ClientLimits(**fields["limits"]),
+        accounts=tuple(
+            _decode_account(account) for account in fields.get("accounts", ())
+        ),
     )
     site_checks.check(configuration)
     return configuration
@@ -142,6 +146,11 @@
     return site_checks.check_name("zone", fields["availability_zone"])
 
 
+def _decode_account(fields: JsonObject) -> ClientAccount:
+    digests = tuple(fields["key_digests"])
+    return ClientAccount(**{**fields, "key_digests": digests})
+
+
 def _decode_route(fields: JsonObject) -> Route:
     shares = tuple(Share(**share) for share in fields["shares"])
     kind = RouteKind(fields["kind"])
--- a/wigeongw/adapters/native_dialect.py
+++ b/wigeongw/adapters/native_dialect.py
@@ -29,6 +29,8 @@
         instance="wigeongw-start",
         rate_limit="wigeongw-rate-limit",
         leaving="wigeongw-leaving",
+        account="wigeongw-account",
+        key_scheme="bearer",
     )
 
     def load(
--- a/wigeongw/core/site.py
+++ b/wigeongw/core/site.py
@@ -42,6 +42,7 @@
         attempts: the maximum number of upstreams that one request is sent
             to.
         priority: 0 is the highest priority.
+        is_public: whether requests need no key of a client account.
     """
 
     name: str
@@ -53,6 +54,7 @@
     objective_ms: float
     attempts: int
     priority: int
+    is_public: bool = False
 
     @property
     def idempotent(self) -> bool:
@@ -96,18 +98,38 @@
     idle_ms: float = 75_000.0
 
 
+@dataclass(frozen=True, slots=True)
+class ClientAccount:
+    """An account whose keys clients send.
+
+    Attributes:
+        key_digests: digests of its keys, in hexadecimal digits.
+        priority: goes before that of the route; 0 is the highest.
+        per_s: quota over all hosts in requests per second; 0 for none.
+        burst: requests beyond that rate.
+    """
+
+    name: str
+    key_digests: tuple[str, ...]
+    priority: int = 0
+    per_s: float = 0.0
+    burst: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Configuration:
     """One revision of the configuration that operators publish.
 
     Attributes:
         revision: revision number; never decreases.
+        accounts: the client accounts; without any, no request needs a key.
     """
 
     revision: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: ClientLimits
+    accounts: tuple[ClientAccount, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -270,6 +292,7 @@
         bounds: limits of the site.
         memory_bytes: memory above which the host is killed.
         descriptors: file descriptors that the host may have.
+        zones: names of all availability zones, as far as they are known.
     """
 
     name: str
@@ -284,3 +307,4 @@
     bounds: SiteLimits = field(default_factory=SiteLimits)
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     descriptors: int = DEFAULT_DESCRIPTORS
+    zones: tuple[str, ...] = ()
--- a/wigeongw/core/site_checks.py
+++ b/wigeongw/core/site_checks.py
@@ -15,6 +15,7 @@
 
 from wigeongw.core.addresses import split_address
 from wigeongw.core.errors import WigeongwError
+from wigeongw.core.site import ClientAccount
 from wigeongw.core.site import ClientLimits
 from wigeongw.core.site import Configuration
 from wigeongw.core.site import Host
@@ -158,6 +159,8 @@
     for name, service in record.services.items():
         _check_part("service", name, _check_service, service)
     _check_limits(record.limits)
+    for account in record.accounts:
+        _check_part("account", account.name, _check_account, account)
 
 
 def _check_part(
@@ -184,6 +187,7 @@
     check_number("objective", route.objective_ms, MAX_DURATION_MS)
     check_integer("attempts", route.attempts)
     check_integer("priority", route.priority)
+    check_flag("public", route.is_public)
 
 
 def _check_share(share: Share) -> None:
@@ -199,6 +203,15 @@
     check_number("cold_per_s", service.cold_per_s, MAX_RATE_PER_S)
 
 
+def _check_account(account: ClientAccount) -> None:
+    check_token("name", account.name)
+    for digest in account.key_digests:
+        check_token("key", digest)
+    check_integer("priority", account.priority)
+    check_number("per_s", account.per_s, MAX_RATE_PER_S)
+    check_number("burst", account.burst, MAX_RATE_PER_S)
+
+
 def _check_limits(limits: ClientLimits) -> None:
     check_integer("head_bytes", limits.head_bytes)
     check_integer("body_bytes", limits.body_bytes)
--- a/wigeongw/decisions/queue_order.py
+++ b/wigeongw/decisions/queue_order.py
@@ -21,14 +21,18 @@
     """Position of a request in a queue; the smallest is served first.
 
     Attributes:
+        account_priority: priority of the client account; 0 is the highest.
         priority: priority of the route; 0 is the highest.
         overdue: whether the request can no longer meet its objective.
+        round_number: the turn of its account among the others.
         ends_at: deadline of the request, monotonic milliseconds.
         number: sequence number of its arrival.
     """
 
+    account_priority: int
     priority: int
     overdue: bool
+    round_number: int
     ends_at: float
     number: int
 
--- a/wigeongw/gateway/client_exchange.py
+++ b/wigeongw/gateway/client_exchange.py
@@ -15,6 +15,7 @@
 from wigeongw.core.clock import seconds
 from wigeongw.core.http_headers import HOP_BY_HOP_HEADERS
 from wigeongw.core.records import Outcome
+from wigeongw.core.site import ClientAccount
 from wigeongw.core.site import Route
 from wigeongw.decisions import queue_order
 from wigeongw.gateway.asgi import Receive
@@ -24,6 +25,7 @@
 from wigeongw.gateway.errors import RequestError
 from wigeongw.gateway.errors import ResponseTruncatedError
 from wigeongw.gateway.forwarder import Forwarder
+from wigeongw.gateway.quota_limiter import QuotaLimiter
 from wigeongw.gateway.request import Request
 from wigeongw.gateway.request_admission import RequestAdmission
 from wigeongw.gateway.request_head import Headers
@@ -46,6 +48,7 @@
 # the route applies as well.
 MAX_BODY_SILENCE_MS = 15_000.0
 CLOSE_HEADER = (b"connection", b"close")
+HTTP_UNAUTHORIZED = 401
 
 
 class _ClientDisconnectedError(Exception):
@@ -62,6 +65,7 @@
 
     state: GatewayState
     admission: RequestAdmission
+    quotas: QuotaLimiter
     forwarder: Forwarder
     dialect: Dialect
     drain_ended: asyncio.Future[None]
@@ -94,6 +98,7 @@
         self.arrived_at = self.state.clock.now()
         self.request_id = "-"
         self.route: Route | None = None
+        self.account: ClientAccount | None = None
         self.service = ""
         self.client_deadline_ms: float | None = None
         self.started = False
@@ -132,10 +137,12 @@
             self.scope["headers"],
             self.context.dialect.names,
             self.admission.limits(),
+            self.admission.has_accounts,
         )
         self.request_id = head.request_id or "-"
         path = self.scope["raw_path"].decode("latin-1")
         self.route = self.admission.match_route(head, path)
+        self.account = self.admission.find_account(head, self.route)
         self.admission.check_drain_deadline(
             self.arrived_at + self.route.timeout_ms
         )
@@ -147,23 +154,34 @@
         body = await self._read_body(head, deadline_at)
         # The host may have been told to stop while the body arrived.
         self.admission.check_drain_deadline(deadline_at)
+        await self.context.quotas.admit(self.account, self.request_id)
         self.service = self.state.split(self.route).next()
         request = Request(
             head.request_id,
             self.scope["method"],
             self._request_target(),
-            head.headers,
+            self._with_account(head.headers),
             body,
             self.route,
             self.service,
             self.arrived_at,
             deadline_at,
             self._is_overdue(self.route, head.deadline_ms),
+            self.account,
         )
         return await self._until_disconnect(
             self.context.forwarder.forward(request)
         )
 
+    def _with_account(
+        self, headers: tuple[tuple[bytes, bytes], ...]
+    ) -> tuple[tuple[bytes, bytes], ...]:
+        """Return headers with the name of the request's account, if any."""
+        if self.account is None:
+            return headers
+        name = self.context.dialect.names.account.encode()
+        return (*headers, (name, self.account.name.encode("latin-1")))
+
     def _is_overdue(self, route: Route, deadline_ms: float | None) -> bool:
         """Return whether the client retries too late for the objective.
 
@@ -379,6 +397,9 @@
             headers.append(
                 (names.request_id.encode(), self.request_id.encode("latin-1"))
             )
+        if error.status == HTTP_UNAUTHORIZED:
+            scheme = names.key_scheme.capitalize()
+            headers.append((b"www-authenticate", scheme.encode()))
         if error.retry_after_ms:
             retry_after_s = error.retry_after_ms / MS_PER_S
             headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
@@ -426,6 +447,7 @@
             "route",
             id=self.request_id,
             route=self.route.name if self.route else None,
+            account=self.account.name if self.account else None,
             service=self.service or None,
             to=attempt.placement.target.identity if attempt else None,
             revision=configuration.revision if configuration else 0,
--- a/wigeongw/gateway/forwarder.py
+++ b/wigeongw/gateway/forwarder.py
@@ -311,6 +311,7 @@
             self.crash_watch.upstreams_to_avoid(request) | progress.tried,
             progress.rate_limited,
             progress.versions,
+            request.account,
         )
 
     def _log_placement(
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -45,6 +45,7 @@
 from wigeongw.gateway.placer import Placer
 from wigeongw.gateway.prober import Prober
 from wigeongw.gateway.proxy_app import ProxyApp
+from wigeongw.gateway.quota_limiter import QuotaLimiter
 from wigeongw.gateway.rate_limit_reader import RateLimitReader
 from wigeongw.gateway.rate_limiter import RateLimiter
 from wigeongw.gateway.registrar import Registrar
@@ -157,7 +158,10 @@
         ledger: MemoryLedger[Connection] = MemoryLedger(
             lambda: self.state.host_config.memory_bytes
         )
-        self.proxy_app = ProxyApp(self.state, forwarder, self.dialect, ledger)
+        self.quotas = QuotaLimiter(self.state, self.peer_socket)
+        self.proxy_app = ProxyApp(
+            self.state, forwarder, self.dialect, ledger, self.quotas
+        )
         self.client_resources = ClientResources(
             self.proxy_app.admission.limits,
             ledger,
@@ -217,6 +221,7 @@
             stack.callback(self.observations.close)
             stack.callback(self.notices.close)
             stack.callback(self.crash_watch.close)
+            stack.callback(self.quotas.close)
             if self.state.host_config.peer:
                 await self.peer_socket.open(self.state.host_config.peer, stack)
             server = self._listen(stack)
--- a/wigeongw/gateway/placer.py
+++ b/wigeongw/gateway/placer.py
@@ -8,11 +8,14 @@
 import heapq
 
 from wigeongw.core.clock import seconds
+from wigeongw.core.site import ClientAccount
 from wigeongw.core.site import Route
+from wigeongw.decisions import fair_order
 from wigeongw.decisions import placement as placements
 from wigeongw.decisions import queue_order
 from wigeongw.decisions import rate_limit
 from wigeongw.decisions import wait_limits
+from wigeongw.decisions.fair_order import FairOrder
 from wigeongw.decisions.placement import Placement
 from wigeongw.decisions.queue_order import QueuePosition
 from wigeongw.gateway.errors import RefusedError
@@ -39,6 +42,7 @@
     """Requests that wait for a slot at the upstreams of one service."""
 
     entries: list[QueuePosition] = field(default_factory=list)
+    turns: FairOrder = field(default_factory=FairOrder)
 
     def is_first(self, entry: QueuePosition) -> bool:
         """Return whether no request in the queue precedes an entry."""
@@ -57,6 +61,7 @@
         deadline_at: when the client must have a response.
         overdue: whether it can no longer meet its latency objective.
         tried: identities of the upstreams it was already sent to.
+        account: the client account that it belongs to, if any.
         versions: the upstreams of a service with two versions that it may go
             to.
         skip_limited: whether to skip upstreams with a rate limit, as one of
@@ -72,6 +77,7 @@
     tried: frozenset[str] = frozenset()
     skip_limited: bool = False
     versions: VersionChoice = VersionChoice.ANY
+    account: ClientAccount | None = None
 
 
 class Placer:
@@ -106,19 +112,33 @@
         self._check_upstreams(request)
         queue = self.queues.setdefault(request.service, WaitQueue())
         self.last_sequence += 1
-        entry = QueuePosition(
-            request.route.priority,
-            request.overdue,
-            request.deadline_at,
-            self.last_sequence,
-        )
+        entry, start = self._position(request, queue)
         if queue.is_first(entry):
             placement = await self.try_place(request)
             if placement is not None:
+                queue.turns.serve(start)
                 return self._check_deadline(request, placement)
-        return await self._wait(
+        placement = await self._wait(
             replace(request, skip_limited=False), queue, entry
         )
+        queue.turns.serve(start)
+        return placement
+
+    def _position(
+        self, request: PlacementRequest, queue: WaitQueue
+    ) -> tuple[QueuePosition, float]:
+        """Return the position of a request and the start of its turn."""
+        account = request.account
+        start = queue.turns.enter(account.name) if account else 0.0
+        position = QueuePosition(
+            account.priority if account else 0,
+            request.route.priority,
+            request.overdue,
+            fair_order.round_number(start),
+            request.deadline_at,
+            self.last_sequence,
+        )
+        return position, start
 
     async def try_place(self, request: PlacementRequest) -> Placement | None:
         """Probe upstreams and choose one, without waiting in the queue.
--- a/wigeongw/gateway/proxy_app.py
+++ b/wigeongw/gateway/proxy_app.py
@@ -11,6 +11,7 @@
 from wigeongw.gateway.client_exchange import ClientExchange
 from wigeongw.gateway.client_exchange import ExchangeContext
 from wigeongw.gateway.forwarder import Forwarder
+from wigeongw.gateway.quota_limiter import QuotaLimiter
 from wigeongw.gateway.request_admission import RequestAdmission
 from wigeongw.gateway.state import GatewayState
 from wigeongw.ports.dialect import Dialect
@@ -32,6 +33,7 @@
         forwarder: Forwarder,
         dialect: Dialect,
         ledger: MemoryLedger[Any],
+        quotas: QuotaLimiter,
     ) -> None:
         self.state = state
         self.admission = RequestAdmission(state, ledger)
@@ -42,7 +44,12 @@
             asyncio.get_running_loop().create_future()
         )
         self.context = ExchangeContext(
-            state, self.admission, forwarder, dialect, self.drain_ended
+            state,
+            self.admission,
+            quotas,
+            forwarder,
+            dialect,
+            self.drain_ended,
         )
 
     async def __call__(
--- a/wigeongw/gateway/request.py
+++ b/wigeongw/gateway/request.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from wigeongw.core.site import ClientAccount
 from wigeongw.core.site import Route
 
 
@@ -18,6 +19,7 @@
         arrived_at: when its head was read.
         deadline_at: when the client must have a response.
         overdue: whether it can no longer meet its latency objective.
+        account: the client account that it belongs to, if any.
     """
 
     request_id: str
@@ -30,3 +32,4 @@
     arrived_at: float
     deadline_at: float
     overdue: bool = False
+    account: ClientAccount | None = None
--- a/wigeongw/gateway/request_admission.py
+++ b/wigeongw/gateway/request_admission.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from wigeongw.core.site import ClientAccount
 from wigeongw.core.site import ClientLimits
 from wigeongw.core.site import Route
 from wigeongw.decisions.memory_ledger import MemoryLedger
@@ -58,6 +59,30 @@
             raise RequestError(404, "no_route")
         return route
 
+    @property
+    def has_accounts(self) -> bool:
+        """Whether requests need the key of a client account."""
+        return bool(self.state.accounts())
+
+    def find_account(
+        self, head: RequestHead, route: Route
+    ) -> ClientAccount | None:
+        """Return the client account of a request.
+
+        Returns:
+            None when there are no accounts, or for a request of a public
+            route without a known key.
+
+        Raises:
+            RequestError: 401 when the route is not public and the key is
+                missing or unknown.
+        """
+        account = self.state.account_index.find(head.key)
+        if account is None and self.has_accounts and not route.is_public:
+            self.state.metrics.count("unknown_keys_total")
+            raise RequestError(401, "unknown_key")
+        return account
+
     def limits(self) -> ClientLimits:
         """Return the current limits on client requests."""
         configuration = self.state.view.configuration
--- a/wigeongw/gateway/request_head.py
+++ b/wigeongw/gateway/request_head.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
 
 from wigeongw.core.http_headers import HOP_BY_HOP_HEADERS
 from wigeongw.core.site import ClientLimits
@@ -13,6 +14,7 @@
 # Digits of a body length; longer numbers exceed every limit.
 MAX_LENGTH_DIGITS = 18
 MAX_DEADLINE_MS = 600_000.0
+AUTHORIZATION = "authorization"
 DROPPED_REQUEST_HEADERS = HOP_BY_HOP_HEADERS | {"content-length"}
 
 
@@ -26,6 +28,7 @@
         deadline_ms: time the client allows; None without a valid deadline.
         length: body length in bytes; None when the body is chunked.
         headers: headers to forward, names in lower case.
+        key: key of a client account; None when it sent none. Never logged.
     """
 
     host: str
@@ -33,10 +36,14 @@
     deadline_ms: float | None
     length: int | None
     headers: tuple[tuple[bytes, bytes], ...]
+    key: str | None = field(default=None, repr=False)
 
 
 def read_head(
-    headers: Headers, names: HeaderNames, limits: ClientLimits
+    headers: Headers,
+    names: HeaderNames,
+    limits: ClientLimits,
+    has_accounts: bool = False,
 ) -> RequestHead:
     """Parse and validate the head of a request.
 
@@ -44,6 +51,7 @@
         headers: name and value pairs, names in lower case.
         names: headers of the platform's dialect.
         limits: limits on client requests.
+        has_accounts: whether clients send keys, which are not forwarded.
 
     Raises:
         RequestError: when the headers contradict each other, the Host header
@@ -57,6 +65,8 @@
     connection_tokens = split_tokens(values.get("connection", []))
     rewritten = (names.deadline_ms, names.expected_instance)
     dropped = DROPPED_REQUEST_HEADERS | connection_tokens | set(rewritten)
+    if has_accounts:
+        dropped |= {AUTHORIZATION, names.account}
     kept = tuple(
         (name, value)
         for name, value in headers
@@ -71,6 +81,7 @@
         _parse_deadline(values.get(names.deadline_ms, [])),
         length,
         kept,
+        _read_key(values.get(AUTHORIZATION, []), names.key_scheme),
     )
 
 
@@ -81,6 +92,16 @@
     }
 
 
+def _read_key(values: list[str], scheme: str) -> str | None:
+    """Return the key in an Authorization header; None for another scheme."""
+    if len(values) != 1:
+        return None
+    found, _, key = values[0].strip().partition(" ")
+    if found.lower() != scheme or not key.strip():
+        return None
+    return key.strip()
+
+
 def _parse_length(
     values: Mapping[str, list[str]], max_bytes: int
 ) -> int | None:
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -5,9 +5,11 @@
 import random
 
 from wigeongw.adapters.observation_codec import hash_identity
+from wigeongw.adapters.quota_codec import hash_account
 from wigeongw.core.addresses import split_address
 from wigeongw.core.clock import Clock
 from wigeongw.core.metrics import Metrics
+from wigeongw.core.site import ClientAccount
 from wigeongw.core.site import Host
 from wigeongw.core.site import HostConfig
 from wigeongw.core.site import RateLimit
@@ -18,7 +20,9 @@
 from wigeongw.decisions import estimates
 from wigeongw.decisions import host_reachability
 from wigeongw.decisions import placement as placements
+from wigeongw.decisions import quota
 from wigeongw.decisions import relay_selection
+from wigeongw.decisions.accounts import AccountIndex
 from wigeongw.decisions.estimates import ServiceTimeEstimate
 from wigeongw.decisions.host_limits import HostRetryBudget
 from wigeongw.decisions.placement import Candidate
@@ -49,6 +53,10 @@
     Attributes:
         view: the current view of the site.
         route_index: routes of the current configuration.
+        account_index: client accounts of the current configuration, by key.
+        accounts_by_hash: the same, by the hash used in datagrams.
+        grantors_by_account: hosts that grant the quota of an account, filled
+            on demand.
         splits: traffic split of each route, by route name.
         targets: state of each known upstream, by identity.
         targets_by_service: the same states, by service.
@@ -91,6 +99,9 @@
         self.metrics = metrics
         self.view = SiteView()
         self.route_index = RouteIndex({})
+        self.account_index = AccountIndex()
+        self.accounts_by_hash: dict[int, ClientAccount] = {}
+        self.grantors_by_account: dict[str, list[str]] = {}
         self.splits: dict[str, Split] = {}
         self.targets: dict[str, TargetState] = {}
         self.targets_by_service: dict[str, list[TargetState]] = {}
@@ -194,6 +205,27 @@
         self.shares.host_config = self.host_config
         self.shares.update(self.targets.values())
 
+    def accounts(self) -> tuple[ClientAccount, ...]:
+        """Return the client accounts of the current configuration."""
+        configuration = self.view.configuration
+        return configuration.accounts if configuration else ()
+
+    def quota_grantors(self, account: str) -> list[str]:
+        """Return the hosts that grant an account's quota, nearest first."""
+        names = self.grantors_by_account.get(account)
+        if names is None:
+            names = quota.choose_grantors(
+                account,
+                self.grantor_directory.hosts.values(),
+                self.host_config.availability_zone,
+            )
+            self.grantors_by_account[account] = names
+        return names
+
+    def zone_count(self) -> int:
+        """Return among how many zones site-wide quotas are divided."""
+        return len({*self.host_config.zones, *self.shares.max_hosts_by_zone})
+
     def split(self, route: Route) -> Split:
         """Return the traffic split of a route over its services."""
         split = self.splits.get(route.name)
@@ -398,6 +430,7 @@
         self.peer_ips = frozenset(ip for ip, _ in self.peer_addresses.values())
         self.grantor_directory.set_hosts(self.view.hosts, self.clock.now())
         self.relay_plan = relay_selection.make_plan(self.view.hosts)
+        self.grantors_by_account = {}
 
     def _find_peer_addresses(self) -> dict[str, tuple[str, int]]:
         """Return the addresses of other hosts; invalid ones are logged."""
@@ -421,6 +454,11 @@
         assert configuration is not None
         self.shares.set_configuration(configuration)
         self.route_index = index_routes(configuration)
+        self.account_index = AccountIndex(configuration.accounts)
+        self.accounts_by_hash = {
+            hash_account(account.name): account
+            for account in configuration.accounts
+        }
         names = {route.name for route in configuration.routes}
         self.splits = {k: v for k, v in self.splits.items() if k in names}
         self.work_estimates = {
--- a/wigeongw/ports/dialect.py
+++ b/wigeongw/ports/dialect.py
@@ -30,6 +30,8 @@
         instance: identity of the upstream that responds.
         rate_limit: requests per second that the upstream takes from all hosts
             together.
+        account: name of the client account, set for the upstream.
+        key_scheme: scheme of the Authorization header, in lower case.
         leaving: ``1`` in all responses of an upstream that leaves.
     """
 
@@ -41,6 +43,8 @@
     instance: str
     rate_limit: str
     leaving: str
+    account: str
+    key_scheme: str
 
 
 class Dialect(Protocol):
