--- a/wigeongw/adapters/load_header.py
+++ b/wigeongw/adapters/load_header.py
@@ -82,6 +82,26 @@
     )
 
 
+def read_cold_left(
+    load_format: LoadFormat, headers: Mapping[str, str]
+) -> float | None:
+    """Parse the remaining cold time of an upstream that tells no load.
+
+    Returns:
+        Milliseconds, 0 when the response names none; None when the response
+        tells a load or its cold time is invalid.
+    """
+    if headers.get(load_format.load):
+        return None
+    try:
+        cold_ms = float(headers.get(load_format.cold) or 0.0)
+    except ValueError:
+        return None
+    if not math.isfinite(cold_ms) or abs(cold_ms) > MAX_COLD_MS:
+        return None
+    return max(0.0, cold_ms)
+
+
 def _are_plausible(
     requests: list[float], slowdown: float, cold_ms: float
 ) -> bool:
--- a/wigeongw/gateway/prober.py
+++ b/wigeongw/gateway/prober.py
@@ -141,3 +141,7 @@
             target.update_sample(sample)
             target.last_probe_sample = sample
             self.observations.report_probe(target)
+            return
+        cold_left_ms = self.dialect.cold_left(reply.fields)
+        if healthy and cold_left_ms is not None:
+            target.record_warm_up(cold_left_ms, now)
--- a/wigeongw/gateway/target_state.py
+++ b/wigeongw/gateway/target_state.py
@@ -139,12 +139,14 @@
         latest = self.sample
         if latest is None or sample.at_ms >= latest.at_ms:
             self.sample = sample
-        cold_left_ms = sample.cold_left_ms
-        if cold_left_ms is None:
-            return
-        self.cold_until = sample.at_ms + cold_left_ms
-        if cold_left_ms <= 0 and sample.at_ms > self.confirmed_warm_at:
-            self.confirmed_warm_at = sample.at_ms
+        if sample.cold_left_ms is not None:
+            self.record_warm_up(sample.cold_left_ms, sample.at_ms)
+
+    def record_warm_up(self, cold_left_ms: float, at_ms: float) -> None:
+        """Record how long a probe says that it stays cold; 0 if warm."""
+        self.cold_until = at_ms + cold_left_ms
+        if cold_left_ms <= 0 and at_ms > self.confirmed_warm_at:
+            self.confirmed_warm_at = at_ms
 
     def record_outcome(self, failed: bool, now: float) -> None:
         """Count the outcome of a request sent by this host."""
--- a/wigeongw/ports/dialect.py
+++ b/wigeongw/ports/dialect.py
@@ -75,3 +75,13 @@
         Returns:
             The load sample, or None if the headers hold no valid report.
         """
+
+    def cold_left(self, headers: dict[str, str]) -> float | None:
+        """Read how long an upstream that tells no load stays cold.
+
+        Args:
+            headers: headers of a response to a probe.
+
+        Returns:
+            Milliseconds; None when the headers hold a load or no valid time.
+        """
