--- a/wigeongw/adapters/client_protocol.py
+++ b/wigeongw/adapters/client_protocol.py
@@ -214,6 +214,9 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect the bytes of one slice, as there may be many small ones."""
+        if self.cycle is None:
+            # The head was refused.
+            return
         self.account.body += len(body)
         self.body_left = max(0, self.body_left - len(body))
         if self.cycle.response_complete:
@@ -223,6 +226,8 @@
 
     def on_message_complete(self) -> None:
         """End the message's account."""
+        if self.cycle is None:
+            return
         self._pass_body_on()
         super().on_message_complete()
         self.body_left = 0
--- a/wigeongw/gateway/rollout_manager.py
+++ b/wigeongw/gateway/rollout_manager.py
@@ -170,7 +170,7 @@
             return
         if is_written:
             self.verified[order.service] = wanted
-            self._log(order, "phase", due)
+            self._log(order, "verified" if due is phase else "phase", due)
 
     async def _write(self, order: RolloutOrder, due: Phase) -> bool:
         """Write a phase, unless the store has it or a later one.
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -36,6 +36,7 @@
 from wigeongw.gateway.grantor_directory import GrantorDirectory
 from wigeongw.gateway.limit_shares import LimitShares
 from wigeongw.gateway.rollout_traffic import RolloutTraffic
+from wigeongw.gateway.target_state import NEVER
 from wigeongw.gateway.target_state import TargetState
 from wigeongw.ports.catalog import UNKNOWN_ERA
 
@@ -262,8 +263,10 @@
         It may not while it pauses, nor if one of the reasons of
         ``is_in_service`` stands against it.
         """
-        is_held = state.held_until > self.clock.now()
-        return not is_held and self.is_in_service(state)
+        has_paused = state.held_until > NEVER
+        if has_paused and state.held_until > self.clock.now():
+            return False
+        return self.is_in_service(state)
 
     def is_in_service(self, state: TargetState) -> bool:
         """Return whether an upstream may receive requests at some time.
--- a/wigeongw/gateway/target_state.py
+++ b/wigeongw/gateway/target_state.py
@@ -10,6 +10,7 @@
 from wigeongw.decisions.estimates import FailureRate
 from wigeongw.decisions.host_limits import TokenBucket
 
+NEVER = float("-inf")
 # Backoff after an upstream could not be reached, doubled with each further
 # failure.
 MIN_BACKOFF_MS = 150.0
@@ -92,7 +93,7 @@
     rate_limit: RateLimit | None = None
     denied_until: dict[str, float] = field(default_factory=dict)
     is_leaving: bool = False
-    held_until: float = float("-inf")
+    held_until: float = NEVER
     flights: set["Flight"] = field(default_factory=set)
 
     def begin_flight(self) -> "Flight":
