Chunks with extensions stay inside the account of a message

Change: 64 bytes around each byte of a body; floods without a body, and skipped answers, have the same bounds as before.

--- a/wigeongw/decisions/message_account.py
+++ b/wigeongw/decisions/message_account.py
@@ -6,8 +6,9 @@
 nothing inside the message sets it back.
 """
 
-# Bytes that may surround one byte of a body. A chunk of one byte needs five.
-MAX_OVERHEAD_PER_BODY_BYTE = 16
+# Bytes that may surround one byte of a body. A chunk of one byte needs five, and
+# more with an extension.
+MAX_OVERHEAD_PER_BODY_BYTE = 64
 
 
 class MessageAccount:
