--- a/wigeongw/decisions/message_account.py
+++ b/wigeongw/decisions/message_account.py
@@ -6,8 +6,8 @@
 nothing inside the message sets it back.
 """
 
-# Bytes that may surround one byte of a body. A chunk of one byte needs five, and
-# more with an extension.
+# Bytes that may surround one byte of a body. A chunk of one byte needs five,
+# and more with an extension.
 MAX_OVERHEAD_PER_BODY_BYTE = 64
 
 
