--- a/standins/scripted_upstream.py
+++ b/standins/scripted_upstream.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 import re
 
+LINE_END = b"\r\n"
 HEADER_END = b"\r\n\r\n"
 CONTENT_LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
 
@@ -102,9 +103,21 @@
     headers = {name.lower(): value.strip() for name, _, value in pairs}
     match = CONTENT_LENGTH.search(head)
     body = await reader.readexactly(int(match[1])) if match else b""
+    if "chunked" in headers.get("transfer-encoding", ""):
+        body = await _read_chunks(reader)
     return ReceivedRequest(method, target, headers, body)
 
 
+async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
+    body = b""
+    while True:
+        size = int(await reader.readuntil(LINE_END), 16)
+        body += await reader.readexactly(size)
+        await reader.readexactly(len(LINE_END))
+        if not size:
+            return body
+
+
 def response_bytes(
     status: int, body: bytes, *lines: str, length: int | None = None
 ) -> bytes:
--- a/standins/site_processes.py
+++ b/standins/site_processes.py
@@ -152,6 +152,7 @@
         availability_zone: str,
         listed: bool = True,
         trace_file: str = "",
+        **options: Any,
     ) -> None:
         """Start an entry host and wait until it serves.
 
@@ -160,6 +161,7 @@
             availability_zone: Its availability zone.
             listed: Whether to add the host to the host list.
             trace_file: Path of the trace; empty for none.
+            options: Further settings of the host.
         """
         path = self.folder / f"{name}.toml"
         settings = {
@@ -171,6 +173,7 @@
             "host_list": f"http://{self.platform_address}/hosts",
             "record_file": str(self.record_file(name)),
             "trace_file": trace_file,
+            **options,
         }
         path.write_text(
             "".join(f"{k} = {json.dumps(v)}\n" for k, v in settings.items())
--- /dev/null
+++ b/wigeongw/daemon/crowds_test.py
@@ -0,0 +1,94 @@
+"""Crowds without manners neither end nor stall ``wigeongw serve``.
+
+As for the platform's host (``clockworks/crowds_test.py``): one crowd a test,
+with lowered limits; while it stays, ordinary requests must get through.
+"""
+
+import asyncio
+from contextlib import AsyncExitStack
+from dataclasses import replace
+import unittest
+
+from standins import crowds
+from standins.crowd_case import CrowdCase
+from standins.crowd_case import test_of
+from standins.crowds import Endpoint
+from standins.process_watch import ProcessWatch
+from standins.scripted_upstream import ReceivedRequest
+from standins.scripted_upstream import ScriptedUpstream
+from standins.site_case import SERVICE
+from standins.site_processes import settings_text
+from standins.site_processes import SiteProcesses
+from wigeongw.adapters.http_upstream_client import REPORT_PATH
+from wigeongw.core.records import Upstream
+
+ZONE = "amman"
+HOST = "entry-amman-1"
+MEMORY_MB = 160
+MAX_DESCRIPTORS = 456
+SLOTS = 256
+LOAD_REPORT = b'{"start": "s-1", "in_flight": 0, "leaving": false}'
+SETTINGS_TIMEOUT_MS = 20_000.0
+
+
+class CrowdsTest(CrowdCase):
+    """A test for each crowd, on a small host with one upstream."""
+
+    memory_mb = MEMORY_MB
+    max_descriptors = MAX_DESCRIPTORS
+
+    async def asyncSetUp(self) -> None:
+        stack = await self.enterAsyncContext(AsyncExitStack())
+        site = await stack.enter_async_context(SiteProcesses())
+        await site.start_platform()
+        upstream = ScriptedUpstream(self.respond)
+        await upstream.start(stack)
+        listed = Upstream(f"{ZONE}-1", upstream.address, SERVICE, ZONE)
+        await site.set_host_list(replace(site.listing, upstreams=(listed,)))
+        await site.publish(
+            settings_text(
+                availability_zones={ZONE: {"distance_ms": 0.1}},
+                services={
+                    SERVICE: {
+                        "paths": [f"/{SERVICE}"],
+                        "slots": SLOTS,
+                        "idempotency_key": "optional",
+                    }
+                },
+                cold_start={"first_limit": SLOTS},
+            )
+        )
+        await site.start_host(
+            HOST,
+            ZONE,
+            memory_most_bytes=MEMORY_MB * 1_000_000,
+            descriptors_most=MAX_DESCRIPTORS,
+        )
+        await site.wait_revision(1)
+        await site.wait_grantors(SETTINGS_TIMEOUT_MS)
+        address = site.address(HOST)
+        self.process = site.processes[HOST].process
+        port = int(address.rpartition(":")[2])
+        self.watch = ProcessWatch(self.process.pid, (port,))
+        prefix = f"/{SERVICE}/"
+        self.endpoint = Endpoint(address, "a", prefix, prefix, "PUT")
+        await self.until_answered("GET")
+
+    async def respond(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer a question for the load, or as the path says."""
+        if request.target == REPORT_PATH:
+            length = f"Content-Length: {len(LOAD_REPORT)}"
+            head = f"HTTP/1.1 200 OK\r\n{length}\r\n\r\n"
+            writer.write(head.encode() + LOAD_REPORT)
+            return
+        await crowds.write_answer(writer, request.target)
+
+
+for crowd_name in (*crowds.CROWDS, crowds.ALL_AT_ONCE):
+    setattr(CrowdsTest, f"test_{crowd_name}", test_of(crowd_name))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wigeongw/daemon/entry_host.py
+++ b/wigeongw/daemon/entry_host.py
@@ -12,6 +12,9 @@
 
 from wigeongw.adapters import http_server
 from wigeongw.adapters import http_upstream_client
+from wigeongw.adapters.client_resources import ClientResources
+from wigeongw.adapters.client_resources import CloseReason
+from wigeongw.adapters.client_resources import Connection
 from wigeongw.adapters.http_server import EmbeddedServer
 from wigeongw.adapters.http_upstream_client import HttpUpstreamClient
 from wigeongw.adapters.peer_links import PeerLinks
@@ -20,6 +23,7 @@
 from wigeongw.core.metrics import Metrics
 from wigeongw.core.records import EntryHost
 from wigeongw.core.restart_backoff import RepeatedFailure
+from wigeongw.core.site import ClientLimits
 from wigeongw.core.task_supervisor import TaskFunction
 from wigeongw.core.task_supervisor import TaskSupervisor
 from wigeongw.daemon.decision_log import DecisionLog
@@ -36,6 +40,7 @@
 from wigeongw.daemon.permit_manager import PermitManager
 from wigeongw.daemon.site_tracker import SiteTracker
 from wigeongw.daemon.store_sync import StoreSync
+from wigeongw.decisions.memory_ledger import MemoryLedger
 from wigeongw.decisions.site_state import SiteState
 from wigeongw.decisions.trace import WriteLine
 from wigeongw.ports.host_list import HostList
@@ -137,6 +142,15 @@
         self.supervisor = TaskSupervisor(
             clock, self.metrics, self._log_task_failure
         )
+        ledger: MemoryLedger[Connection] = MemoryLedger(
+            lambda: settings.memory_most_bytes
+        )
+        self.client_resources = ClientResources(
+            ClientLimits,
+            ledger,
+            settings.descriptors_most,
+            self._count_closed_client,
+        )
         self.stop_requested = asyncio.Event()
         self.bound: BoundAddresses | None = None
         self.ready = asyncio.Event()
@@ -205,7 +219,9 @@
         for function in self._background_tasks(load_report_poller):
             self._start_task(stack, function)
         return [
-            self._start_server(stack, frontend, client_socket),
+            self._start_server(
+                stack, frontend, client_socket, self.client_resources
+            ),
             self._start_server(stack, admin, admin_socket),
         ]
 
@@ -304,10 +320,17 @@
             failure.cause,
         )
 
+    def _count_closed_client(self, reason: CloseReason) -> None:
+        self.metrics.count("client_closed", reason.value)
+
     def _start_server(
-        self, stack: AsyncExitStack, app: Any, sock: socket.socket
+        self,
+        stack: AsyncExitStack,
+        app: Any,
+        sock: socket.socket,
+        resources: ClientResources | None = None,
     ) -> EmbeddedServer:
-        server = http_server.build(app)
+        server = http_server.build(app, resources)
         task = asyncio.create_task(server.serve(sockets=[sock]))
         stack.push_async_callback(_stop_server, server, task)
         return server
--- a/wigeongw/settings/schema.py
+++ b/wigeongw/settings/schema.py
@@ -12,6 +12,9 @@
 from pydantic import Field
 from pydantic.dataclasses import dataclass
 
+from wigeongw.core.site import DEFAULT_DESCRIPTORS
+from wigeongw.core.site import DEFAULT_MEMORY_BYTES
+
 MODEL_CONFIG = ConfigDict(extra="forbid", strict=False)
 
 Milliseconds = Annotated[float, Field(gt=0, le=86_400_000)]
@@ -230,6 +233,9 @@
         record_file: file for the decision log; "-" is standard output.
         record_most: the longest queue of unwritten decision log lines.
         trace_file: file for the replayable trace; empty for none.
+        memory_most_bytes: memory that the process may use; what it holds for
+            clients and upstreams is divided by it.
+        descriptors_most: file descriptors that the process may have.
     """
 
     name: Name
@@ -243,3 +249,9 @@
     record_file: str = "-"
     record_most: Count = 10_000
     trace_file: str = ""
+    memory_most_bytes: Annotated[int, Field(ge=64 << 20, le=1 << 40)] = (
+        DEFAULT_MEMORY_BYTES
+    )
+    descriptors_most: Annotated[int, Field(ge=256, le=1 << 20)] = (
+        DEFAULT_DESCRIPTORS
+    )
