A ledger whose kinds add up, and a legal body alone is served

What callers saw: on machines of 152 and 200 MB a body of legal size was refused with 503 even in calm; a crowd of small bodies that never end shut ordinary small uploads out. Cause: each kind had a share of the memory, but nothing added them up with the program and the connections; uploads were refused by share alone, and one that waits for its last byte held its place until its time limit. Change: the ledger bounds the sum of all kinds, beside the program and the least of each connection. One upload may take nearly all while others hold little; at the bound a small upload ends the one that has waited longest for its end and has not run. An upload's last piece is not kept until the next.

--- a/wigeongw/adapters/client_protocol.py
+++ b/wigeongw/adapters/client_protocol.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Mapping
 from typing import Any
 
 from uvicorn.protocols.http.flow_control import FlowControl
@@ -16,6 +17,7 @@
 
 from wigeongw.adapters.client_resources import ClientResources
 from wigeongw.adapters.client_resources import CloseReason
+from wigeongw.adapters.client_resources import Connection
 from wigeongw.adapters.turn_feed import SLICE_BYTES
 from wigeongw.adapters.turn_feed import TurnFeed
 from wigeongw.core.clock import MS_PER_S
@@ -27,6 +29,8 @@
 # ASGI scope extension with the request target as the client sent it. The
 # scope's path and query cannot always be joined to the same bytes.
 RAW_TARGET_EXTENSION = "wigeongw.target"
+# ASGI scope extension with the connection, as an owner of bytes.
+CONNECTION_EXTENSION = "wigeongw.connection"
 HEAD_TOO_LARGE = "The head of the request is too large"
 # A message may have so many times the size of a head beside its body: for
 # the head itself, and for framing and trailers.
@@ -207,7 +211,10 @@
         if size > self.resources.get_limits().head_bytes:
             self._reject_oversized_head()
             return
-        self.scope["extensions"] = {RAW_TARGET_EXTENSION: {"raw": self.url}}
+        self.scope["extensions"] = {
+            RAW_TARGET_EXTENSION: {"raw": self.url},
+            CONNECTION_EXTENSION: {"connection": self},
+        }
         super().on_headers_complete()
         self.cycles.append(self.cycle)
         self.resources.table.set_busy(self)
@@ -310,6 +317,14 @@
         self.protocol.go_on()
 
 
+def connection_of(scope: Mapping[str, Any]) -> Connection | None:
+    """Return the connection of an ASGI scope, as an owner of bytes."""
+    extensions = scope.get("extensions") or {}
+    extension = extensions.get(CONNECTION_EXTENSION, {})
+    found: Connection | None = extension.get("connection")
+    return found
+
+
 def _body_length(headers: list[tuple[bytes, bytes]]) -> int:
     """Return the body's length; 0 if it has none or several."""
     values = [v for name, v in headers if name == b"content-length"]
--- a/wigeongw/adapters/client_resources.py
+++ b/wigeongw/adapters/client_resources.py
@@ -1,15 +1,19 @@
 """What all client connections of a process share: limits, memory, a table."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 from dataclasses import dataclass
 from dataclasses import field
 import enum
 from typing import Protocol
 
+from wigeongw.core.clock import Clock
 from wigeongw.core.site import ClientLimits
 from wigeongw.core.site import DEFAULT_DESCRIPTORS
 from wigeongw.core.site import DEFAULT_MEMORY_BYTES
 from wigeongw.decisions import connection_limits
+from wigeongw.decisions import memory_shares
 from wigeongw.decisions.connection_limits import ConnectionTable
 from wigeongw.decisions.memory_ledger import MemoryLedger
 
@@ -20,6 +24,8 @@
     UNREAD = "unread_bytes"
     UNDELIVERED = "undelivered_bytes"
     CONNECTIONS = "connections"
+    UPLOAD = "upload_without_end"
+    ANSWER = "answer_not_read"
     MESSAGE = "message_without_end"
 
 
@@ -48,6 +54,8 @@
         descriptors: the descriptors that the process may have.
         on_close: called with the reason for which a connection was closed.
         table: the open connections.
+        opened_at: when each was opened, by the clock.
+        clock: tells the age of a connection.
     """
 
     get_limits: Callable[[], ClientLimits] = ClientLimits
@@ -57,19 +65,84 @@
     descriptors: int = DEFAULT_DESCRIPTORS
     on_close: Callable[[CloseReason], None] = _ignore
     table: ConnectionTable[Connection] = field(default_factory=ConnectionTable)
+    opened_at: dict[Connection, float] = field(default_factory=dict)
+    clock: Clock = field(default_factory=Clock)
 
     def opened(self, connection: Connection) -> None:
         """Add a connection; close one that waits if there are too many."""
         most = connection_limits.max_client_connections(self.descriptors)
-        excess = self.table.open(connection, most)
+        if not self.ledger.has_room_for_client():
+            most = min(most, len(self.table))
+        self.opened_at[connection] = self.clock.now()
+        not_reading = self.ledger.undelivered.sizes
+        excess = self.table.open(connection, most, not_reading, self._is_new)
+        self.ledger.clients = len(self.table)
         if excess is not None:
             excess.give_up(CloseReason.CONNECTIONS)
 
+    def _is_new(self, connection: Connection) -> bool:
+        age_ms = self.clock.now() - self.opened_at.get(connection, 0.0)
+        return age_ms < connection_limits.NEW_CONNECTION_MS
+
     def closed(self, connection: Connection) -> None:
         """Forget a connection that has ended."""
         self.table.close(connection)
+        self.opened_at.pop(connection, None)
+        self.ledger.clients = len(self.table)
         self.ledger.forget(connection)
 
+    def set_answer(self, connection: Connection, size: int) -> None:
+        """Note what came from an upstream and is not passed on."""
+        for excess in self.ledger.set_answer(connection, size):
+            excess.give_up(CloseReason.ANSWER)
+
+    @contextlib.contextmanager
+    def answer(
+        self, connection: Connection | None, size: int
+    ) -> Iterator[None]:
+        """Count a part of an answer while it waits for its client.
+
+        Args:
+            connection: the client's connection, if known.
+            size: bytes of the part.
+        """
+        if connection is None:
+            yield
+            return
+        self.set_answer(connection, size)
+        try:
+            yield
+        finally:
+            self.ledger.answers.set(connection, 0)
+
+    def hold_upload(
+        self, size: int, whole: int, owner: Connection | None
+    ) -> bool:
+        """Count bytes of a request body.
+
+        For a small body that does not fit, the uploads end that have waited
+        longest for their own end; they have not run.
+
+        Args:
+            size: bytes to add.
+            whole: bytes of the body so far, with these.
+            owner: the connection that sends it, if known.
+
+        Returns:
+            Whether they fit; nothing is counted if not.
+        """
+        ledger = self.ledger
+        if not ledger.hold_upload(size, whole):
+            if owner is None or whole > memory_shares.SMALL_UPLOAD_BYTES:
+                return False
+            for excess in ledger.uploads_to_end(owner, size):
+                excess.give_up(CloseReason.UPLOAD)
+            if not ledger.hold_upload(size, whole):
+                return False
+        if owner is not None:
+            ledger.set_arriving(owner, whole)
+        return True
+
     def set_unread(self, connection: Connection, size: int) -> None:
         """Note what a connection received that no request has taken."""
         for excess in self.ledger.set_unread(connection, size):
--- a/wigeongw/decisions/memory_ledger_test.py
+++ b/wigeongw/decisions/memory_ledger_test.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies
 
+from wigeongw.decisions import connection_limits
 from wigeongw.decisions import memory_shares
 from wigeongw.decisions.connection_limits import ConnectionTable
 from wigeongw.decisions.memory_ledger import MemoryLedger
@@ -19,6 +20,19 @@
     ),
     max_size=60,
 )
+KINDS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(("upload", "unread", "undelivered", "answer")),
+        strategies.sampled_from(OWNERS),
+        strategies.integers(0, MEMORY // 4),
+    ),
+    max_size=60,
+)
+SMALLEST_MEMORY = 152_000_000
+SMALLEST_DESCRIPTORS = 2870
+LARGEST_BODY = 64 << 20
+# A tenth of the smallest memory stays for what is held for others.
+LEAST_POOL = SMALLEST_MEMORY // 10
 
 
 def ledger() -> MemoryLedger[str]:
@@ -70,8 +84,100 @@
                 held.undelivered_total, memory_shares.max_undelivered(MEMORY)
             )
 
+    @given(KINDS, strategies.integers(0, 20))
+    def test_all_kinds_together_fit_beside_the_connections(
+        self, steps: list[tuple[str, str, int]], clients: int
+    ) -> None:
+        """Load: a crowd that does everything at once."""
+        held = ledger()
+        held.clients = clients
+        most = memory_shares.max_held(MEMORY, clients, 0)
+        uploads: dict[str, int] = {}
+        for kind, owner, size in steps:
+            closed: list[str] = []
+            if kind == "upload":
+                held.release_upload(uploads.pop(owner, 0), owner)
+                if held.hold_upload(size):
+                    uploads[owner] = size
+            elif kind == "unread":
+                closed = held.set_unread(owner, size)
+            elif kind == "undelivered":
+                closed = held.set_undelivered(owner, size)
+            else:
+                closed = held.set_answer(owner, size)
+            for excess in closed:
+                held.forget(excess)
+                held.release_upload(uploads.pop(excess, 0), excess)
+            self.assertLessEqual(held.held, most)
+
+    def test_body_of_legal_size_fits_alone_into_the_smallest_machine(
+        self,
+    ) -> None:
+        held: MemoryLedger[str] = MemoryLedger(lambda: SMALLEST_MEMORY)
+        held.clients = 100
+        self.assertTrue(held.hold_upload(LARGEST_BODY))
+        self.assertFalse(held.hold_upload(LARGEST_BODY))
+        self.assertTrue(held.hold_upload(2_000), "a small one beside it")
+        held.release_upload(LARGEST_BODY)
+        self.assertTrue(held.hold_upload(1_000_000), "it is gone")
+
+    def test_smallest_machine_bears_all_its_connections(self) -> None:
+        """Load: as many clients as its descriptors allow, all at once."""
+        clients = connection_limits.max_client_connections(
+            SMALLEST_DESCRIPTORS
+        )
+        upstreams = connection_limits.max_upstream_connections(
+            SMALLEST_DESCRIPTORS
+        )
+        held: MemoryLedger[str] = MemoryLedger(lambda: SMALLEST_MEMORY)
+        held.clients, held.upstreams = clients, upstreams
+        self.assertGreater(held.room, LEAST_POOL)
+        self.assertTrue(held.hold_upload(2_000))
+
+    def test_oldest_upload_gives_way_to_a_small_one(self) -> None:
+        """Load: bodies without their end hold all that uploads may."""
+        held = ledger()
+        owners = [f"crowd-{number}" for number in range(100)]
+        for owner in owners:
+            if held.hold_upload(20_000):
+                held.set_arriving(owner, 20_000)
+        self.assertFalse(held.hold_upload(1_000))
+        self.assertEqual(held.uploads_to_end("new", 1_000), ["crowd-0"])
+        self.assertTrue(held.hold_upload(1_000))
+        self.assertNotIn("crowd-0", held.arriving)
+        held.release_upload(20_000, "crowd-0")
+        self.assertEqual(held.ending.total, 0)
+
+    def test_upload_that_has_ended_does_not_give_way(self) -> None:
+        held = ledger()
+        held.hold_upload(20_000)
+        held.set_arriving("a", 20_000)
+        held.set_arriving("a", 0)
+        self.assertEqual(held.uploads_to_end("new", 1_000), [])
+
 
 class ConnectionTableTest(unittest.TestCase):
+    def test_those_that_wait_for_their_client_give_way(self) -> None:
+        """Load: all connections have a request, and one client comes."""
+        table: ConnectionTable[str] = ConnectionTable()
+        for owner in "abc":
+            table.open(owner, 3)
+        table.set_busy("a")
+        table.set_receiving("b")
+        table.set_receiving("c")
+        self.assertEqual(table.open("d", 3, ["a"]), "b")
+        table.close("b")
+        table.set_busy("c")
+        table.set_busy("d")
+        self.assertEqual(table.open("e", 3, ["d", "a"]), "d")
+
+    def test_new_connection_gets_time_for_its_request(self) -> None:
+        """Load: clients come faster than their requests are read."""
+        table: ConnectionTable[str] = ConnectionTable()
+        table.open("a", 1)
+        closed = table.open("b", 1, (), lambda owner: owner == "a")
+        self.assertEqual(closed, "b")
+
     def test_silent_connections_give_way_before_idle_ones(self) -> None:
         table: ConnectionTable[str] = ConnectionTable()
         for owner in "abc":
--- a/wigeongw/gateway/client_exchange.py
+++ b/wigeongw/gateway/client_exchange.py
@@ -8,6 +8,7 @@
 from typing import TypeVar
 
 from wigeongw.adapters.body_stream import BodyStream
+from wigeongw.adapters.client_protocol import connection_of
 from wigeongw.adapters.client_protocol import RAW_TARGET_EXTENSION
 from wigeongw.adapters.upstream_connection import BufferedReply
 from wigeongw.adapters.upstream_connection import UpstreamConnection
@@ -79,6 +80,8 @@
         request_id: ID that the client sent; ``-`` when it sent none.
         client_deadline_ms: deadline that the client sent, if any.
         held_bytes: bytes of the request body that are held.
+        connection: the client's connection, the owner of what is held; None
+            if the server does not name it.
         has_unread_body: whether a part of the request body was not read.
     """
 
@@ -103,6 +106,7 @@
         self.client_deadline_ms: float | None = None
         self.started = False
         self.held_bytes = 0
+        self.connection = connection_of(scope)
         self.has_unread_body = False
 
     async def run(self) -> None:
@@ -110,7 +114,7 @@
         try:
             await self._process()
         finally:
-            self.admission.release(self.held_bytes)
+            self.admission.release(self.held_bytes, self.connection)
 
     async def _process(self) -> None:
         try:
@@ -235,8 +239,9 @@
     def _hold(self, size: int) -> None:
         """Hold further bytes of the body, until the request has ended."""
         if size > 0:
-            self.admission.hold(size)
-            self.held_bytes += size
+            whole = self.held_bytes + size
+            self.admission.hold(size, whole, self.connection)
+            self.held_bytes = whole
 
     async def _read_body(
         self, head: RequestHead, deadline_at: float
@@ -267,8 +272,12 @@
                     if size > max_bytes:
                         raise RequestError(413, "body_too_large")
                     self._hold(size - self.held_bytes)
-                    if not message.get("more_body", False):
+                    is_last = not message.get("more_body", False)
+                    # Else they would stay until the next piece has come.
+                    del message, piece
+                    if is_last:
                         self.has_unread_body = False
+                        self.admission.has_arrived(self.connection)
                         return body
         except TimeoutError as error:
             raise RequestError(408, "body_too_slow") from error
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -103,6 +103,15 @@
         self.log = DecisionLog(clock, host_config.name)
         self.state = GatewayState(host_config, clock, rng, self.log, Metrics())
         self.dialect = dependencies.dialect
+        ledger: MemoryLedger[Connection] = MemoryLedger(
+            lambda: self.state.host_config.memory_bytes
+        )
+        self.client_resources = ClientResources(
+            lambda: self.proxy_app.admission.limits(),
+            ledger,
+            host_config.descriptors,
+            self._log_closed_client,
+        )
         self.pool = UpstreamPool(
             clock,
             self.dialect.names.request_id,
@@ -155,18 +164,13 @@
             self.crash_watch,
         )
         forwarder = Forwarder(self.state, placer, sender, self.crash_watch)
-        ledger: MemoryLedger[Connection] = MemoryLedger(
-            lambda: self.state.host_config.memory_bytes
-        )
         self.quotas = QuotaLimiter(self.state, self.peer_socket)
         self.proxy_app = ProxyApp(
-            self.state, forwarder, self.dialect, ledger, self.quotas
-        )
-        self.client_resources = ClientResources(
-            self.proxy_app.admission.limits,
-            ledger,
-            host_config.descriptors,
-            self._log_closed_client,
+            self.state,
+            forwarder,
+            self.dialect,
+            self.client_resources,
+            self.quotas,
         )
         self.platform_apps = dependencies.platform_apps
         self.supervisor = TaskSupervisor(
@@ -192,6 +196,7 @@
                 unread_bytes=ledger.unread_total,
                 undelivered_bytes=ledger.undelivered_total,
                 upload_bytes=ledger.uploads,
+                answer_bytes=ledger.answers.total,
             )
 
     def request_stop(self) -> None:
--- a/wigeongw/gateway/proxy_app.py
+++ b/wigeongw/gateway/proxy_app.py
@@ -1,10 +1,9 @@
 """ASGI application that proxies client requests to upstreams."""
 
 import asyncio
-from typing import Any
 
+from wigeongw.adapters.client_resources import ClientResources
 from wigeongw.core.clock import seconds
-from wigeongw.decisions.memory_ledger import MemoryLedger
 from wigeongw.gateway.asgi import Receive
 from wigeongw.gateway.asgi import Scope
 from wigeongw.gateway.asgi import Send
@@ -32,11 +31,11 @@
         state: GatewayState,
         forwarder: Forwarder,
         dialect: Dialect,
-        ledger: MemoryLedger[Any],
+        resources: ClientResources,
         quotas: QuotaLimiter,
     ) -> None:
         self.state = state
-        self.admission = RequestAdmission(state, ledger)
+        self.admission = RequestAdmission(state, resources)
         self.in_progress = 0
         self.no_requests = asyncio.Event()
         self.no_requests.set()
--- a/wigeongw/gateway/request_admission.py
+++ b/wigeongw/gateway/request_admission.py
@@ -1,7 +1,7 @@
 """Decides whether a host takes a client's request, and by which route."""
 
-from typing import Any
-
+from wigeongw.adapters.client_resources import ClientResources
+from wigeongw.adapters.client_resources import Connection
 from wigeongw.core.site import ClientAccount
 from wigeongw.core.site import ClientLimits
 from wigeongw.core.site import Route
@@ -23,14 +23,18 @@
     """Checks requests against routes, memory and a graceful stop.
 
     Attributes:
-        ledger: the bytes that this host holds for others.
+        resources: what this host holds for its clients.
+        ledger: the bytes among them.
         drain_deadline: during a graceful stop, when the last response must be
             complete, on the monotonic clock; None before.
     """
 
-    def __init__(self, state: GatewayState, ledger: MemoryLedger[Any]) -> None:
+    def __init__(
+        self, state: GatewayState, resources: ClientResources
+    ) -> None:
         self.state = state
-        self.ledger = ledger
+        self.resources = resources
+        self.ledger: MemoryLedger[Connection] = resources.ledger
         self.drain_deadline: float | None = None
 
     @property
@@ -88,21 +92,31 @@
         configuration = self.state.view.configuration
         return configuration.limits if configuration else ClientLimits()
 
-    def hold(self, size: int) -> None:
+    def hold(self, size: int, whole: int, owner: Connection | None) -> None:
         """Take so many bytes of a request body into memory.
 
+        Args:
+            size: bytes to add.
+            whole: bytes of the body so far, with these.
+            owner: the client's connection, if known.
+
         Raises:
             RequestError: when they do not fit; the request has not run.
         """
-        if not self.ledger.hold_upload(size):
+        if not self.resources.hold_upload(size, whole, owner):
             self.state.metrics.count("uploads_refused_total")
             raise RequestError(
                 503, "memory", retry_after_ms=MEMORY_RETRY_AFTER_MS
             )
 
-    def release(self, size: int) -> None:
+    def has_arrived(self, owner: Connection | None) -> None:
+        """Note that the whole body of a request is there."""
+        if owner is not None:
+            self.ledger.set_arriving(owner, 0)
+
+    def release(self, size: int, owner: Connection | None) -> None:
         """Give back the memory of a request body."""
-        self.ledger.release_upload(size)
+        self.ledger.release_upload(size, owner)
 
     def check_drain_deadline(self, ends_at: float) -> None:
         """Refuse a request that might not end before this host stops.
