What a parser keeps counts, and who waits for its client gives way

What callers saw: trailers behind a body of 60 KB took a host to 302 MB of 120 and serve to 392 of 160; with all connections in a request, new callers were closed. Cause: the allowance for framing grew with the body, and the parser keeps a trailer until its end; heads and trailers belonged to no owner. A connection with a request never gave way, whatever it waited for. Change: what came since the last byte of a body is bounded by itself and counts as unread bytes of its connection, heads until their answer.

--- a/wigeongw/adapters/client_protocol.py
+++ b/wigeongw/adapters/client_protocol.py
@@ -52,6 +52,9 @@
         resources: what all connections of the process share.
         feed: the received bytes that are not parsed yet.
         account: counts the bytes of the message that is being received.
+        overhead_held: bytes of the message since its start or the last byte
+            of its body. The parser may keep them.
+        head_sizes: bytes of the heads of ``cycles``.
         is_reading_head: whether the head of a request is incomplete.
         body_left: bytes that the body still has, if it has a length.
         discarded_body: bytes of a body that came after its response.
@@ -78,6 +81,8 @@
         self.flow = _Flow(transport, self)
         self.feed = TurnFeed(self._parse, self._next_size, self.update_reading)
         self.account = MessageAccount(ALLOWANCE_IN_HEADS * limits.head_bytes)
+        self.overhead_held = 0
+        self.head_sizes: deque[int] = deque()
         self.is_reading_head = True
         self.body_left = 0
         self.discarded_body = 0
@@ -151,7 +156,9 @@
         else:
             FlowControl.resume_reading(self.flow)
         pipelined = len(self.pipeline) * PIPELINED_REQUEST_BYTES
-        self.resources.set_unread(self, self.feed.waiting + body + pipelined)
+        heads = sum(self.head_sizes) + self.overhead_held
+        held = self.feed.waiting + body + pipelined + heads
+        self.resources.set_unread(self, held)
 
     def go_on(self) -> None:
         """Parse and read on after a request has taken what was there."""
@@ -171,6 +178,7 @@
 
     def _parse(self, piece: bytes) -> None:
         self.account.received += len(piece)
+        self.overhead_held += len(piece)
         super().data_received(piece)
         self._pass_body_on()
         if self.has_ended or self.transport.is_closing():
@@ -180,8 +188,10 @@
         if self.is_reading_head:
             if self.account.overhead > limits.head_bytes:
                 self._reject_oversized_head()
-        elif self.account.is_exceeded or (
-            self.discarded_body > limits.body_bytes
+        elif (
+            self.account.is_exceeded
+            or self.overhead_held > ALLOWANCE_IN_HEADS * limits.head_bytes
+            or self.discarded_body > limits.body_bytes
         ):
             self.give_up(CloseReason.MESSAGE)
 
@@ -217,7 +227,9 @@
         }
         super().on_headers_complete()
         self.cycles.append(self.cycle)
-        self.resources.table.set_busy(self)
+        self.head_sizes.append(size)
+        self.overhead_held = 0
+        self.resources.table.set_receiving(self)
 
     def on_body(self, body: bytes) -> None:
         """Collect the bytes of one slice, as there may be many small ones."""
@@ -225,6 +237,7 @@
             # The head was refused.
             return
         self.account.body += len(body)
+        self.overhead_held = 0
         self.body_left = max(0, self.body_left - len(body))
         if self.cycle.response_complete:
             self.discarded_body += len(body)
@@ -238,6 +251,9 @@
         self._pass_body_on()
         super().on_message_complete()
         self.body_left = 0
+        self.overhead_held = 0
+        if self.cycles:
+            self.resources.table.set_busy(self)
         limits = self.resources.get_limits()
         self.account = MessageAccount(ALLOWANCE_IN_HEADS * limits.head_bytes)
 
@@ -245,6 +261,7 @@
         """Forget the request that was answered."""
         while self.cycles and self.cycles[0].response_complete:
             self.cycles.popleft()
+            self.head_sizes.popleft()
         if not self.cycles:
             self.resources.table.set_idle(self)
         super().on_response_complete()
