Bytes that the system received and nobody has read are bounded

What callers saw: crowds with large bodies took a host over its memory, 29 to 46 MB of it in the system's receive buffers, which count. Cause: those buffers grow to megabytes a connection while a body is read quickly, and stay full when it waits; nobody owned them. Change: a listener's window is narrow (8 KiB, some 12 to 16 are taken), so the least of each connection covers it, also before it is accepted; the queue of these is 512 long. A long body gets 64 KiB while the ledger has room for it.

--- a/wigeongw/adapters/client_protocol.py
+++ b/wigeongw/adapters/client_protocol.py
@@ -15,6 +15,7 @@
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from wigeongw.adapters import receive_window
 from wigeongw.adapters.client_resources import ClientResources
 from wigeongw.adapters.client_resources import CloseReason
 from wigeongw.adapters.client_resources import Connection
@@ -83,6 +84,7 @@
         self.account = MessageAccount(ALLOWANCE_IN_HEADS * limits.head_bytes)
         self.overhead_held = 0
         self.head_sizes: deque[int] = deque()
+        self.is_window_wide = False
         self.is_reading_head = True
         self.body_left = 0
         self.discarded_body = 0
@@ -238,6 +240,7 @@
             return
         self.account.body += len(body)
         self.overhead_held = 0
+        self._widen_window()
         self.body_left = max(0, self.body_left - len(body))
         if self.cycle.response_complete:
             self.discarded_body += len(body)
@@ -264,11 +267,31 @@
             self.head_sizes.popleft()
         if not self.cycles:
             self.resources.table.set_idle(self)
+            self._narrow_window()
         super().on_response_complete()
         self.go_on()
 
     # Internal helpers
 
+    def _widen_window(self) -> None:
+        """Receive a long body faster, as long as there is memory for it."""
+        if self.is_window_wide:
+            return
+        rest = max(self.body_left, self.account.body)
+        if rest <= receive_window.WIDE_BYTES:
+            return
+        held = receive_window.WIDE_HELD_BYTES
+        sock = self.transport.get_extra_info("socket")
+        if sock and self.resources.ledger.hold_window(self, held):
+            self.is_window_wide = True
+            receive_window.widen(sock)
+
+    def _narrow_window(self) -> None:
+        if self.is_window_wide and not self.transport.is_closing():
+            self.is_window_wide = False
+            receive_window.narrow(self.transport.get_extra_info("socket"))
+            self.resources.ledger.release_window(self)
+
     def _pass_body_on(self) -> None:
         if self.body_pieces:
             body = b"".join(self.body_pieces)
--- a/wigeongw/adapters/http_server.py
+++ b/wigeongw/adapters/http_server.py
@@ -8,12 +8,14 @@
 
 import uvicorn
 
+from wigeongw.adapters import receive_window
 from wigeongw.adapters.client_protocol import protocol_class
 from wigeongw.adapters.client_resources import ClientResources
 from wigeongw.core.addresses import split_address
 
 KEEP_ALIVE_TIMEOUT_S = 75
-LISTEN_BACKLOG = 2048
+# Connections that wait to be accepted may have sent something already.
+LISTEN_BACKLOG = 512
 
 
 class EmbeddedServer(uvicorn.Server):
@@ -38,6 +40,7 @@
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    receive_window.narrow(sock)
     try:
         sock.bind((host, port))
         sock.listen(LISTEN_BACKLOG)
