Answers count until their client has them

What callers saw: clients that read long answers slowly took a host over its memory: 124.6 MB of 120 pipelined, 281.8 of 152 with many. Cause: bytes from upstreams counted only by a part for each request that was fixed when it began, with a least of 80 KiB; a whole answer waited uncounted behind the one before it, and the buffers of the system towards upstreams grew. Change: the connection to the upstream owns what is not passed on, then the client's connection; limits are those of the moment; the one that has waited longest is closed. Up to 8 KiB may wait uncounted, as the least covers it. The window towards upstreams is narrow.

--- a/wigeongw/adapters/body_stream.py
+++ b/wigeongw/adapters/body_stream.py
@@ -16,6 +16,7 @@
         waiting: bytes that wait for the reader.
         has_ended: whether the last byte has arrived, or none will.
         error: why the body broke off; None if it did not.
+        on_take: called after the reader has taken bytes.
         changed: set when there is something to get.
         is_paused: whether reading from the upstream is paused.
     """
@@ -25,10 +26,12 @@
         max_waiting: int,
         pause: Callable[[], None],
         resume: Callable[[], None],
+        on_take: Callable[[], None] = lambda: None,
     ) -> None:
         self.max_waiting = max_waiting
         self.pause = pause
         self.resume = resume
+        self.on_take = on_take
         self.waiting = bytearray()
         self.has_ended = False
         self.error: BodyError | None = None
@@ -68,6 +71,7 @@
             data = bytes(self.waiting)
             self.waiting.clear()
             self._resume()
+            self.on_take()
             return data
         if self.error is not None:
             raise self.error
--- a/wigeongw/adapters/client_protocol.py
+++ b/wigeongw/adapters/client_protocol.py
@@ -43,6 +43,8 @@
 MAX_UNPARSED_BYTES = 16 << 10
 # What a pipelined request takes beside its body.
 PIPELINED_REQUEST_BYTES = 4 << 10
+# Answers up to this size may wait to be sent without being counted.
+MAX_UNCOUNTED_BYTES = 8 << 10
 MAX_LENGTH_DIGITS = 18
 
 
@@ -85,6 +87,7 @@
         self.overhead_held = 0
         self.head_sizes: deque[int] = deque()
         self.is_window_wide = False
+        transport.set_write_buffer_limits(high=MAX_UNCOUNTED_BYTES)
         self.is_reading_head = True
         self.body_left = 0
         self.discarded_body = 0
--- a/wigeongw/adapters/message_bounds_test.py
+++ b/wigeongw/adapters/message_bounds_test.py
@@ -73,6 +73,11 @@
     def get_write_buffer_size(self) -> int:
         return 0
 
+    def set_write_buffer_limits(
+        self, high: int | None = None, low: int | None = None
+    ) -> None:
+        """Nothing is buffered."""
+
     def pause_reading(self) -> None:
         self.is_paused = True
 
--- a/wigeongw/adapters/upstream_connection.py
+++ b/wigeongw/adapters/upstream_connection.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 import select
@@ -16,6 +17,7 @@
 import httptools
 
 from wigeongw.adapters.body_stream import BodyStream
+from wigeongw.adapters.client_resources import CloseReason
 from wigeongw.adapters.turn_feed import TurnFeed
 from wigeongw.decisions.memory_shares import BufferLimits
 from wigeongw.decisions.message_account import MessageAccount
@@ -85,6 +87,13 @@
     answers_request: bool = False
 
 
+NoteHeld = Callable[["UpstreamConnection", int], None]
+
+
+def _ignore(connection: "UpstreamConnection", size: int) -> None:
+    """Count nothing."""
+
+
 class UpstreamConnection(asyncio.Protocol):
     """A client connection to one upstream.
 
@@ -108,15 +117,18 @@
             closes the connection.
         idle_timeout_ms: how long the connection may stay idle.
         idle_since: monotonic time in milliseconds, set by the pool.
-        limits: how much of a response it holds, set by the pool. What fits
+        limits: returns how much of a response it may hold now. What fits
             is buffered before any of it goes to the client, so that a request
             whose response is truncated can be retried.
+        note_held: called with the connection and how much it holds.
     """
 
     def __init__(
         self,
         request_id_header: str,
         open_connections: set["UpstreamConnection"] | None = None,
+        limits: Callable[[], BufferLimits] = BufferLimits,
+        note_held: NoteHeld | None = None,
     ) -> None:
         self.open_connections = (
             set() if open_connections is None else open_connections
@@ -142,7 +154,8 @@
         self.foreign_responses = 0
         self.idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS
         self.idle_since = 0.0
-        self.limits = BufferLimits()
+        self.limits = limits
+        self.note_held = note_held or _ignore
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = bytearray()
         self.reply: BufferedReply | None = None
@@ -156,6 +169,7 @@
         """Limit how long sent bytes may stay unacknowledged."""
         self.transport = cast(asyncio.Transport, transport)
         self.open_connections.add(self)
+        self.note_held(self, 0)
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(
@@ -170,6 +184,18 @@
             self.close()
             return
         self.feed.add(data)
+        self.update_held()
+
+    def update_held(self) -> None:
+        """Note how many bytes of a response are not passed on yet."""
+        held = self.feed.waiting + len(self.body)
+        if self.reply is not None and self.reply.rest is not None:
+            held += len(self.reply.rest.waiting)
+        self.note_held(self, held)
+
+    def give_up(self, reason: CloseReason) -> None:
+        """Close at once; the response is not complete."""
+        self._fail(reason.value)
 
     def _parse(self, piece: bytes) -> None:
         if self.waiter is None and self.reply is None:
@@ -220,6 +246,8 @@
         self.is_reusable = False
         reason = "reset" if exc is not None else "closed"
         self._fail(f"connection {reason}", is_broken=True)
+        self.reply = None
+        self.note_held(self, 0)
 
     # Exchanges
 
@@ -374,9 +402,13 @@
             self.reply.rest.feed(data)
             return
         self.body += data
-        if len(self.body) > self.limits.buffered:
+        limits = self.limits()
+        if len(self.body) > limits.buffered:
             self.reply.rest = BodyStream(
-                self.limits.waiting, self._pause_reading, self._resume_reading
+                limits.waiting,
+                self._pause_reading,
+                self._resume_reading,
+                self.update_held,
             )
             self._deliver(self.reply)
 
--- a/wigeongw/adapters/upstream_pool.py
+++ b/wigeongw/adapters/upstream_pool.py
@@ -2,7 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
+import socket
 
+from wigeongw.adapters import receive_window
+from wigeongw.adapters.client_resources import ClientResources
 from wigeongw.adapters.upstream_connection import ExchangeError
 from wigeongw.adapters.upstream_connection import UpstreamConnection
 from wigeongw.core.addresses import split_address
@@ -22,6 +25,7 @@
     Attributes:
         limits: returns how much of one response may be held now.
         most: how many connections may be open.
+        resources: where it is counted what the connections hold, if anywhere.
         open: the connections that are open.
         idle: idle connections by the upstream's identity, last used last.
     """
@@ -32,7 +36,9 @@
         request_id_header: str,
         limits: Callable[[], BufferLimits] = BufferLimits,
         most: int = DEFAULT_MAX_CONNECTIONS,
+        resources: ClientResources | None = None,
     ) -> None:
+        self.resources = resources
         self.limits = limits
         self.clock = clock
         self.request_id_header = request_id_header
@@ -46,11 +52,6 @@
         Raises:
             ExchangeError: if no connection can be opened; nothing was sent.
         """
-        connection = await self._idle_or_new(target)
-        connection.limits = self.limits()
-        return connection
-
-    async def _idle_or_new(self, target: Target) -> UpstreamConnection:
         idle = self.idle.get(target.identity, [])
         now = self.clock.now()
         while idle:
@@ -140,17 +141,36 @@
 
     async def _connect(self, target: Target) -> UpstreamConnection:
         self._make_room()
-        address, port = split_address(target.address)
-        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(seconds(CONNECT_TIMEOUT_MS)):
-                _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(
-                        self.request_id_header, self.open
-                    ),
-                    address,
-                    port,
-                )
+                return await self._open(*split_address(target.address))
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise ExchangeError(f"no connection: {error!r}", False) from error
+
+    def _note_held(self, connection: UpstreamConnection, size: int) -> None:
+        if self.resources is not None:
+            self.resources.ledger.upstreams = len(self.open)
+            self.resources.set_answer(connection, size)
+
+    async def _open(self, address: str, port: int) -> UpstreamConnection:
+        """Connect a socket whose window is narrow from the start."""
+        family = socket.AF_INET6 if ":" in address else socket.AF_INET
+        loop = asyncio.get_running_loop()
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            receive_window.narrow(sock)
+            await loop.sock_connect(sock, (address, port))
+            _, connection = await loop.create_connection(
+                lambda: UpstreamConnection(
+                    self.request_id_header,
+                    self.open,
+                    self.limits,
+                    self._note_held,
+                ),
+                sock=sock,
+            )
+        except BaseException:
+            sock.close()
+            raise
         return connection
--- a/wigeongw/gateway/client_exchange.py
+++ b/wigeongw/gateway/client_exchange.py
@@ -306,8 +306,9 @@
             }
         )
         has_more = reply.rest is not None
-        await self._send_body(reply.body, has_more)
+        await self._send_counted(reply.body, has_more)
         if has_more:
+            reply.body = b""
             try:
                 await self._until_disconnect(self._stream_body(attempt, reply))
             except OutcomeUnknownError as error:
@@ -326,7 +327,7 @@
                 chunk = await self._next_chunk(attempt.connection, reply.rest)
                 if chunk is None:
                     break
-                await self._send_body(chunk, True)
+                await self._send_counted(chunk, True)
             is_complete = True
             await self._send_body(b"", False)
         finally:
@@ -367,6 +368,11 @@
                 "body_timeout", f"nothing for {wait_ms:.0f} ms"
             ) from error
 
+    async def _send_counted(self, body: bytes, has_more: bool) -> None:
+        """Send a part of an answer, which may wait for its client."""
+        with self.admission.resources.answer(self.connection, len(body)):
+            await self._send_body(body, has_more)
+
     async def _send_body(self, body: bytes, has_more: bool) -> None:
         await self.send(
             {"type": "http.response.body", "body": body, "more_body": has_more}
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -119,6 +119,7 @@
             connection_limits.max_upstream_connections(
                 host_config.descriptors
             ),
+            self.client_resources,
         )
         self.peer_socket = PeerSocket(self.state.metrics)
         self.observations = ObservationExchange(self.state, self.peer_socket)
