serve: bodies and answers count in the ledger

Cause: only pipelined bytes and unread answers were counted there. Bodies with a key (1 MiB) or up to 64 KiB were kept without an owner, and each answer had buffers of 128 KiB and the system's behind them. Change: bodies are held in the ledger like on the platform's host, with 503 (not run) and Retry-After 1 at the bound; a streamed body and a streamed answer count what their buffers take; windows towards upstreams are narrow.

--- a/wigeongw/adapters/http_upstream_client.py
+++ b/wigeongw/adapters/http_upstream_client.py
@@ -6,11 +6,14 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import socket
 
 import aiohttp
+from aiohttp import AddrInfoType
 import logbook
 from multidict import CIMultiDict
 
+from wigeongw.adapters import receive_window
 from wigeongw.adapters.rate_limit_header import RateLimitHeaderError
 from wigeongw.adapters.rate_limit_header import read_rate_limit
 from wigeongw.core.clock import Clock
@@ -43,6 +46,8 @@
 REPORT_HEADERS_BYTES = 400
 KEEP_ALIVE_TIMEOUT_MS = 15_000.0
 MAX_HEADER_BYTES = 65_536
+# Reading pauses when twice as much of an answer waits.
+READ_BUFFER_BYTES = 16 << 10
 # An upstream may send an invalid value in each of its responses.
 INVALID_VALUE_LOG_INTERVAL_MS = 10_000.0
 
@@ -68,16 +73,21 @@
     """
     if reuse_connections:
         connector = aiohttp.TCPConnector(
-            limit=0, keepalive_timeout=seconds(KEEP_ALIVE_TIMEOUT_MS)
+            limit=0,
+            keepalive_timeout=seconds(KEEP_ALIVE_TIMEOUT_MS),
+            socket_factory=_narrow_socket,
         )
     else:
-        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        connector = aiohttp.TCPConnector(
+            limit=0, force_close=True, socket_factory=_narrow_socket
+        )
     session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None),
         skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
+        read_bufsize=READ_BUFFER_BYTES,
         max_line_size=MAX_HEADER_BYTES,
         max_field_size=MAX_HEADER_BYTES,
     )
@@ -87,6 +97,14 @@
     return session
 
 
+def _narrow_socket(info: AddrInfoType) -> socket.socket:
+    """Return a socket that lets little wait of what an upstream sends."""
+    family, kind, protocol = info[:3]
+    sock = socket.socket(family, kind, protocol)
+    receive_window.narrow(sock)
+    return sock
+
+
 class HttpReply:
     """A response whose body can be read once."""
 
--- a/wigeongw/daemon/entry_host.py
+++ b/wigeongw/daemon/entry_host.py
@@ -10,6 +10,7 @@
 
 import logbook
 
+from wigeongw.adapters import allocator
 from wigeongw.adapters import http_server
 from wigeongw.adapters import http_upstream_client
 from wigeongw.adapters.client_resources import ClientResources
@@ -170,6 +171,7 @@
         Raises:
             OSError: when an address cannot be bound.
         """
+        allocator.return_large_blocks()
         async with AsyncExitStack() as stack:
             servers = await self._open_servers(stack)
             assert self.bound is not None
@@ -283,6 +285,7 @@
             self.rng,
             self.metrics,
             self.settings.name,
+            self.client_resources,
         )
         return self.frontend
 
--- a/wigeongw/daemon/frontend.py
+++ b/wigeongw/daemon/frontend.py
@@ -10,6 +10,9 @@
 from collections.abc import AsyncIterator
 import random
 
+from wigeongw.adapters.client_protocol import connection_of
+from wigeongw.adapters.client_resources import ClientResources
+from wigeongw.adapters.client_resources import Connection
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
 from wigeongw.core.identifiers import new_random_id
@@ -35,6 +38,7 @@
 from wigeongw.daemon.request_body import cancel_on_disconnect
 from wigeongw.daemon.request_body import ClientDisconnectedError
 from wigeongw.daemon.request_body import RequestBody
+from wigeongw.daemon.request_body import STREAMED_BODY_BYTES
 from wigeongw.decisions.idempotency import Claim
 from wigeongw.decisions.retry import IDEMPOTENT_METHODS
 from wigeongw.settings.schema import Settings
@@ -43,6 +47,8 @@
 # Larger request bodies without an idempotency key are streamed.
 MAX_BUFFERED_BODY_BYTES = 65_536
 MAX_KEYED_BODY_BYTES = 1 << 20
+# What an answer takes that is passed on as it arrives.
+STREAMED_ANSWER_BYTES = 48 << 10
 
 
 class Frontend:
@@ -52,6 +58,7 @@
         local_app: application for paths below the well-known path.
         idempotency: manager of idempotency keys.
         host_name: name of this entry host.
+        resources: what all connections of clients share.
         in_progress: number of service requests in progress.
         close_connections: whether responses tell clients to close their
             connection.
@@ -66,7 +73,9 @@
         rng: random.Random,
         metrics: Metrics,
         host_name: str,
+        resources: ClientResources,
     ) -> None:
+        self.resources = resources
         self.local_app = local_app
         self.dispatcher = dispatcher
         self.idempotency = idempotency
@@ -86,13 +95,18 @@
         if scope["path"].startswith(WELL_KNOWN_PREFIX):
             await self.local_app(scope, receive, send)
             return
-        self.in_progress += 1
+        self._count_request(1)
         try:
             await self._handle(
                 scope, receive, ClientResponse(send, self.close_connections)
             )
         finally:
-            self.in_progress -= 1
+            self._count_request(-1)
+
+    def _count_request(self, change: int) -> None:
+        self.in_progress += change
+        # Each has a connection to an upstream at most.
+        self.resources.ledger.upstreams = self.in_progress
 
     async def _handle(
         self, scope: Scope, receive: Receive, response: "ClientResponse"
@@ -111,11 +125,15 @@
             parsed = parse_headers(
                 scope, settings.services[service], self.host_name
             )
-            body = RequestBody(receive, parsed)
-            outcome = await self._serve(
-                _RequestContext(scope, identity, service, parsed, body),
-                response,
-            )
+            owner = connection_of(scope)
+            body = RequestBody(receive, parsed, self.resources, owner)
+            try:
+                outcome = await self._serve(
+                    _RequestContext(scope, identity, service, parsed, body),
+                    response,
+                )
+            finally:
+                body.release()
         except Problem as problem:
             outcome = problem.outcome
             await response.send_problem(problem, identity)
@@ -183,14 +201,14 @@
         )
         async with cancel_on_disconnect(context.body, response):
             if needs_key and context.parsed.key:
-                return await self._serve_keyed(
-                    request, context.parsed, response
-                )
+                return await self._serve_keyed(request, context, response)
             try:
                 exchange = await self.dispatcher.dispatch(request)
             except Problem as problem:
                 raise context.body.rejection or problem from problem
-            return await self._relay_response(request, exchange, response)
+            return await self._relay_response(
+                request, exchange, response, context.body.owner
+            )
 
     async def _read_body(
         self, context: "_RequestContext", keyed: bool
@@ -214,6 +232,7 @@
         max_bytes = MAX_KEYED_BODY_BYTES if keyed else MAX_BUFFERED_BODY_BYTES
         length = context.parsed.length
         if not keyed and (length is None or length > max_bytes):
+            context.body.hold(STREAMED_BODY_BYTES)
             return context.body.stream()
         try:
             async with asyncio.timeout(seconds(context.parsed.deadline_ms)):
@@ -222,9 +241,21 @@
             raise Problem(408, "The body came too slowly") from error
 
     async def _relay_response(
-        self, request: Request, exchange: Exchange, response: "ClientResponse"
+        self,
+        request: Request,
+        exchange: Exchange,
+        response: "ClientResponse",
+        owner: Connection | None,
     ) -> Outcome:
         """Stream the response of an upstream to the client."""
+        whole = exchange.buffered_body
+        size = STREAMED_ANSWER_BYTES if whole is None else len(whole)
+        with self.resources.answer(owner, size):
+            return await self._stream_response(request, exchange, response)
+
+    async def _stream_response(
+        self, request: Request, exchange: Exchange, response: "ClientResponse"
+    ) -> Outcome:
         reply = exchange.reply
         headers = response_headers(
             reply.headers, request.identity, Outcome.RAN
@@ -249,7 +280,7 @@
     async def _serve_keyed(
         self,
         request: Request,
-        parsed: ParsedHeaders,
+        context: "_RequestContext",
         response: "ClientResponse",
     ) -> Outcome:
         """Serve a request with an idempotency key, at most once."""
@@ -259,7 +290,7 @@
         )
         remaining_ms = request.ends_at - self.clock.now()
         found = await self.idempotency.claim(
-            request.service, parsed.key, body_digest, remaining_ms
+            request.service, context.parsed.key, body_digest, remaining_ms
         )
         if isinstance(found, Claim):
             return await self._replay(request, found, response)
@@ -274,7 +305,9 @@
             self.idempotency.record_unknown(found)
             raise
         self._record_response(found, exchange)
-        return await self._relay_response(request, exchange, response)
+        return await self._relay_response(
+            request, exchange, response, context.body.owner
+        )
 
     async def _replay(
         self, request: Request, claim: Claim, response: "ClientResponse"
--- a/wigeongw/daemon/request_body.py
+++ b/wigeongw/daemon/request_body.py
@@ -4,12 +4,19 @@
 from collections.abc import AsyncIterator
 import contextlib
 
+from wigeongw.adapters.client_resources import ClientResources
+from wigeongw.adapters.client_resources import Connection
 from wigeongw.core.records import Outcome
 from wigeongw.daemon.asgi import Receive
 from wigeongw.daemon.client_response import ClientResponse
 from wigeongw.daemon.errors import Problem
 from wigeongw.daemon.headers import ParsedHeaders
 
+# What a body takes that is passed on as it arrives: a piece here, and what
+# waits to be sent.
+STREAMED_BODY_BYTES = 128 << 10
+MEMORY_RETRY_AFTER_S = 1
+
 
 class ClientDisconnectedError(Exception):
     """The client closed its connection before the response ended."""
@@ -19,6 +26,9 @@
     """The body of a request; it can be read once.
 
     Attributes:
+        resources: where its bytes are counted.
+        owner: the connection that sends it, if known.
+        held_bytes: bytes that are counted, until ``release``.
         max_bytes: largest accepted body.
         is_ended: whether the whole body was received.
         size: number of bytes received so far.
@@ -27,8 +37,17 @@
         fully_read: set when the whole body was received.
     """
 
-    def __init__(self, receive: Receive, parsed: ParsedHeaders) -> None:
+    def __init__(
+        self,
+        receive: Receive,
+        parsed: ParsedHeaders,
+        resources: ClientResources,
+        owner: Connection | None = None,
+    ) -> None:
         self.receive = receive
+        self.resources = resources
+        self.owner = owner
+        self.held_bytes = 0
         self.max_bytes = parsed.max_body_bytes
         self.is_ended = parsed.length == 0
         self.size = 0
@@ -37,16 +56,40 @@
         if self.is_ended:
             self.fully_read.set()
 
+    def hold(self, size: int) -> None:
+        """Take so many further bytes into memory.
+
+        Raises:
+            Problem: when they do not fit; the request has not run.
+        """
+        whole = self.held_bytes + size
+        if not self.resources.hold_upload(size, whole, self.owner):
+            raise Problem(
+                503,
+                "Not enough memory",
+                "too many bodies are being received",
+                Outcome.NOT_RUN,
+                MEMORY_RETRY_AFTER_S,
+            )
+        self.held_bytes = whole
+
+    def release(self) -> None:
+        """Give back what was held; the body is gone."""
+        self.resources.ledger.release_upload(self.held_bytes, self.owner)
+        self.held_bytes = 0
+
     async def read(self, max_bytes: int) -> bytes:
         """Read the whole body.
 
         Raises:
-            Problem: when the body is larger than ``max_bytes``.
+            Problem: when the body is larger than ``max_bytes``, or does not
+                fit into the memory.
         """
         if self.is_ended:
             return b""
         chunks: list[bytes] = []
         async for chunk in self.stream():
+            self.hold(len(chunk))
             chunks.append(chunk)
             if self.size > max_bytes:
                 raise Problem(
@@ -54,6 +97,8 @@
                     "The body is too large",
                     f"at most {max_bytes} bytes with an Idempotency-Key",
                 )
+        if self.owner is not None:
+            self.resources.ledger.set_arriving(self.owner, 0)
         return b"".join(chunks)
 
     async def stream(self) -> AsyncIterator[bytes]:
@@ -72,9 +117,13 @@
                     Outcome.UNKNOWN,
                 )
                 raise self.rejection
+            is_last = not message.get("more_body")
+            del message
             if chunk:
                 yield chunk
-            if not message.get("more_body"):
+            # Else it would stay until the next one has come.
+            del chunk
+            if is_last:
                 self.is_ended = True
                 self.fully_read.set()
 
