--- a/standins/scripted_upstream.py
+++ b/standins/scripted_upstream.py
@@ -10,6 +10,12 @@
 LINE_END = b"\r\n"
 HEADER_END = b"\r\n\r\n"
 CONTENT_LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
+# What a status line may say that is no status, and what is one.
+NO_STATUSES = (
+    *("000", "001", "010", "099", "600", "999"),
+    *("0", "20", "2000", "0200", "-20", "2e2", "20x", "abc", ""),
+)
+STATUSES = ("200", "201", "299", "300", "404", "500", "599")
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +143,12 @@
     return "\r\n".join(head).encode() + HEADER_END + body
 
 
+def status_response(status: str) -> bytes:
+    """Return a complete response whose status line says a status."""
+    head = f"HTTP/1.1 {status} Scripted\r\nContent-Length: 3"
+    return head.encode() + HEADER_END + b"one"
+
+
 def cut_responses(request_id_line: str) -> dict[str, bytes]:
     """Return complete responses that tests cut at each byte.
 
--- a/wigeongw/adapters/http_upstream_client.py
+++ b/wigeongw/adapters/http_upstream_client.py
@@ -18,6 +18,7 @@
 from wigeongw.adapters.rate_limit_header import read_rate_limit
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
+from wigeongw.core.http_status import is_status
 from wigeongw.core.json_text import JsonTextError
 from wigeongw.core.json_text import parse_object
 from wigeongw.core.log_throttle import LogThrottle
@@ -264,7 +265,14 @@
         call: Call,
         limit: LimitReport | None,
     ) -> HttpReply:
-        """Raise if the response is to another request or declares not-run."""
+        """Raise if it is no response to this request or declares not-run."""
+        if not is_status(response.status):
+            response.close()
+            raise UpstreamError(
+                f"not an answer: status {response.status:03}",
+                Outcome.UNKNOWN,
+                Verdict.FAILED,
+            )
         echoed_id = response.headers.get(REQUEST_ID)
         if echoed_id is not None and echoed_id != call.identity:
             response.close()
--- a/wigeongw/adapters/http_upstream_client_test.py
+++ b/wigeongw/adapters/http_upstream_client_test.py
@@ -8,9 +8,12 @@
 import logbook
 
 from standins.scripted_upstream import cut_responses
+from standins.scripted_upstream import NO_STATUSES
 from standins.scripted_upstream import ReceivedRequest
 from standins.scripted_upstream import response_bytes
 from standins.scripted_upstream import ScriptedUpstream
+from standins.scripted_upstream import status_response
+from standins.scripted_upstream import STATUSES
 from wigeongw.adapters.http_upstream_client import HttpUpstreamClient
 from wigeongw.adapters.http_upstream_client import new_session
 from wigeongw.adapters.http_upstream_client import NOT_RUN
@@ -35,6 +38,7 @@
         self.lines: list[str] = []
         self.repeats = 1
         self.raw: bytes | None = None
+        self.closes_raw = True
         server = ScriptedUpstream(self.answer)
         await server.start(self.stack)
         self.upstream = Upstream("u", server.address, "s", "amman")
@@ -47,7 +51,8 @@
     ) -> None:
         if self.raw is not None:
             writer.write(self.raw)
-            writer.close()
+            if self.closes_raw:
+                writer.close()
             return
         response = response_bytes(self.status, b"", *self.lines)
         writer.write(response * self.repeats)
@@ -78,6 +83,33 @@
             await self.client.call(self.upstream, call)
 
 
+class StatusLineTest(ClientTestCase):
+    """The upstream keeps its connection open after each answer."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.closes_raw = False
+
+    async def test_status_that_is_none_fails_at_once(self) -> None:
+        """It was passed on, and the client got no answer at all."""
+        for status in NO_STATUSES:
+            with self.subTest(status=status):
+                self.raw = status_response(status)
+                with self.assertRaises(UpstreamError) as raised:
+                    await self.client.call(self.upstream, CALL)
+                error = raised.exception
+                self.assertIs(error.outcome, Outcome.UNKNOWN)
+                self.assertNotIn("Timeout", error.reason)
+
+    async def test_other_statuses_are_answers(self) -> None:
+        for status in STATUSES:
+            with self.subTest(status=status):
+                self.raw = status_response(status)
+                reply = await self.client.call(self.upstream, CALL)
+                self.assertEqual(reply.status, int(status))
+                await reply.close()
+
+
 class CutResponseTest(ClientTestCase):
     async def test_response_that_stops_at_any_byte_passes_as_whole(
         self,
--- a/wigeongw/adapters/upstream_connection.py
+++ b/wigeongw/adapters/upstream_connection.py
@@ -19,6 +19,8 @@
 from wigeongw.adapters.body_stream import BodyStream
 from wigeongw.adapters.client_resources import CloseReason
 from wigeongw.adapters.turn_feed import TurnFeed
+from wigeongw.core.http_status import is_status
+from wigeongw.core.http_status import MIN_FINAL_STATUS
 from wigeongw.decisions.memory_shares import BufferLimits
 from wigeongw.decisions.message_account import MessageAccount
 from wigeongw.ports.errors import BodyError
@@ -35,8 +37,6 @@
 MAX_FOREIGN_BYTES = 1 << 20
 # Bytes that are parsed before the bounds are checked.
 SLICE_BYTES = 16 << 10
-# Responses with a lower status are informational.
-MIN_FINAL_STATUS = 200
 BODILESS_STATUSES = frozenset((204, 304))
 TCP_USER_TIMEOUT_MS = 3_000
 # The limit on idle time until an upstream sends a Keep-Alive timeout.
@@ -358,7 +358,12 @@
     def on_headers_complete(self) -> None:
         """Skip a response to another request; find how the body ends."""
         status = self.parser.get_status_code()
-        if self.is_complete or status < MIN_FINAL_STATUS:
+        if self.is_complete:
+            return
+        if not is_status(status):
+            self._fail(f"not an answer: status {status:03}")
+            return
+        if status < MIN_FINAL_STATUS:
             return
         fields = {
             n.decode("latin-1"): v.decode("latin-1") for n, v in self.headers
--- a/wigeongw/adapters/upstream_connection_test.py
+++ b/wigeongw/adapters/upstream_connection_test.py
@@ -12,9 +12,12 @@
 import unittest
 
 from standins.scripted_upstream import cut_responses
+from standins.scripted_upstream import NO_STATUSES
 from standins.scripted_upstream import ReceivedRequest
 from standins.scripted_upstream import response_bytes
 from standins.scripted_upstream import ScriptedUpstream
+from standins.scripted_upstream import status_response
+from standins.scripted_upstream import STATUSES
 from wigeongw.adapters.upstream_connection import ExchangeError
 from wigeongw.adapters.upstream_connection import UpstreamConnection
 from wigeongw.adapters.upstream_pool import UpstreamPool
@@ -91,6 +94,35 @@
         return reply.status, reply.body, connection
 
 
+class StatusLineTest(UpstreamConnectionTestCase):
+    """The upstream keeps its connection open after each answer."""
+
+    async def test_status_that_is_none_fails_at_once(self) -> None:
+        """000 was waited out like an informational one, 600 passed on."""
+        for status in NO_STATUSES:
+            with self.subTest(status=status):
+                self.scripts = [[status_response(status)]]
+                with self.assertRaises(ExchangeError) as raised:
+                    await self.exchange("1")
+                self.assertTrue(raised.exception.sent)
+                self.assertIn("not an answer", raised.exception.reason)
+
+    async def test_other_statuses_are_answers(self) -> None:
+        for status in STATUSES:
+            with self.subTest(status=status):
+                self.scripts = [[status_response(status)]]
+                answer = await self.exchange("1")
+                self.assertEqual(answer[:2], (int(status), b"one"))
+
+    async def test_informational_statuses_come_before_an_answer(self) -> None:
+        for status in (100, 103, 199):
+            with self.subTest(status=status):
+                early = response_bytes(status, b"", length=-1)
+                self.scripts = [[early, response_bytes(200, b"one")]]
+                answer = await self.exchange("1")
+                self.assertEqual(answer[:2], (200, b"one"))
+
+
 class UpstreamConnectionTest(UpstreamConnectionTestCase):
     async def test_accepts_complete_responses(self) -> None:
         chunked = "Transfer-Encoding: chunked"
