--- a/wigeongw/adapters/client_protocol.py
+++ b/wigeongw/adapters/client_protocol.py
@@ -58,6 +58,7 @@
         overhead_held: bytes of the message since its start or the last byte
             of its body. The parser may keep them.
         head_sizes: bytes of the heads of ``cycles``.
+        is_window_wide: whether more may wait in its receive window.
         is_reading_head: whether the head of a request is incomplete.
         body_left: bytes that the body still has, if it has a length.
         discarded_body: bytes of a body that came after its response.
