serve: slow readers do not keep all slots for themselves

What callers saw: with four slots and sixty clients that read long answers slowly, an ordinary request got 504 for as long as the crowd stayed. Cause: an answer that is streamed holds its permit until its client has read it, up to ten minutes; a whole answer held it, too, though its upstream had finished. Change: a whole answer gives its permit back before it is sent. While a request has waited 250 ms for a slot of a service, the streamed answer is closed whose client has not read on for a second, the longest first. Evidence: wigeongw.daemon.crowds_test.FewSlotsTest.test_slow_readers_of_chunks failed on the commit before (GET is not answered, last status 504) and passes now, 71.7 MB of 160; with bodies one byte short it held before (79.9 MB).

--- a/wigeongw/adapters/client_resources.py
+++ b/wigeongw/adapters/client_resources.py
@@ -26,6 +26,7 @@
     CONNECTIONS = "connections"
     UPLOAD = "upload_without_end"
     ANSWER = "answer_not_read"
+    SLOT = "slot_not_released"
     MESSAGE = "message_without_end"
 
 
--- a/wigeongw/daemon/crowds_test.py
+++ b/wigeongw/daemon/crowds_test.py
@@ -27,13 +27,19 @@
 MEMORY_MB = 160
 MAX_DESCRIPTORS = 456
 SLOTS = 256
+FEW_SLOTS = 4
 LOAD_REPORT = b'{"start": "s-1", "in_flight": 0, "leaving": false}'
 SETTINGS_TIMEOUT_MS = 20_000.0
 
 
-class CrowdsTest(CrowdCase):
-    """A test for each crowd, on a small host with one upstream."""
+class ServeCase(CrowdCase):
+    """Runs ``wigeongw serve`` with lowered limits and one upstream.
 
+    Attributes:
+        slots: slots of the upstream.
+    """
+
+    slots = SLOTS
     memory_mb = MEMORY_MB
     max_descriptors = MAX_DESCRIPTORS
 
@@ -51,11 +57,11 @@
                 services={
                     SERVICE: {
                         "paths": [f"/{SERVICE}"],
-                        "slots": SLOTS,
+                        "slots": self.slots,
                         "idempotency_key": "optional",
                     }
                 },
-                cold_start={"first_limit": SLOTS},
+                cold_start={"first_limit": self.slots},
             )
         )
         await site.start_host(
@@ -86,6 +92,22 @@
         await crowds.write_answer(writer, request.target)
 
 
+class CrowdsTest(ServeCase):
+    """A test for each crowd, on a small host."""
+
+
+class FewSlotsTest(ServeCase):
+    """Crowds that could keep all slots of the upstream for themselves."""
+
+    slots = FEW_SLOTS
+
+    async def test_bodies_one_byte_short(self) -> None:
+        await self.play("bodies_one_byte_short")
+
+    async def test_slow_readers_of_chunks(self) -> None:
+        await self.play("slow_readers_of_chunks")
+
+
 for crowd_name in (*crowds.CROWDS, crowds.ALL_AT_ONCE):
     setattr(CrowdsTest, f"test_{crowd_name}", test_of(crowd_name))
 
--- a/wigeongw/daemon/dispatcher.py
+++ b/wigeongw/daemon/dispatcher.py
@@ -5,11 +5,15 @@
 client unchanged.
 """
 
+import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Sequence
+import contextlib
 from dataclasses import replace
 
 from wigeongw.core.clock import Clock
+from wigeongw.core.clock import seconds
 from wigeongw.core.metrics import Metrics
 from wigeongw.core.records import Outcome
 from wigeongw.core.records import Upstream
@@ -40,6 +44,7 @@
     Refusal.NO_UPSTREAM: 503,
 }
 RETRY_AFTER_S = 1
+SHORTAGE_INTERVAL_MS = 250.0
 
 
 def always_allowed() -> bool:
@@ -53,6 +58,8 @@
     Attributes:
         on_upstream_leaving: called with the name of an upstream whose response
             says that it is leaving.
+        on_shortage: called with a service, again and again while a request
+            waits for one of its slots.
         retry_budgets: retry budget of each service.
     """
 
@@ -64,6 +71,7 @@
         decision_log: DecisionLog,
         metrics: Metrics,
         on_upstream_leaving: Callable[[str], None],
+        on_shortage: Callable[[str], object],
     ) -> None:
         self.permit_manager = permit_manager
         self.upstream_client = upstream_client
@@ -71,6 +79,7 @@
         self.decision_log = decision_log
         self.metrics = metrics
         self.on_upstream_leaving = on_upstream_leaving
+        self.on_shortage = on_shortage
         self.retry_budgets: dict[str, RetryBudget] = {}
 
     async def dispatch(
@@ -152,7 +161,10 @@
         )
         started_at = self.clock.now()
         try:
-            held = await self.permit_manager.acquire(request.service, wanted)
+            with self._reporting_shortage(request.service):
+                held = await self.permit_manager.acquire(
+                    request.service, wanted
+                )
         except NotAdmittedError as error:
             reason = error.reason
             self._log_decision(request, "", reason.value)
@@ -168,6 +180,22 @@
         self.metrics.time(queued_ms, "queue", request.service)
         return held
 
+    @contextlib.contextmanager
+    def _reporting_shortage(self, service: str) -> Iterator[None]:
+        """Report while the block waits, after each interval."""
+        loop = asyncio.get_running_loop()
+
+        def report() -> None:
+            nonlocal timer
+            self.on_shortage(service)
+            timer = loop.call_later(seconds(SHORTAGE_INTERVAL_MS), report)
+
+        timer = loop.call_later(seconds(SHORTAGE_INTERVAL_MS), report)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
     async def _send_attempt(
         self,
         request: Request,
--- a/wigeongw/daemon/frontend.py
+++ b/wigeongw/daemon/frontend.py
@@ -39,6 +39,7 @@
 from wigeongw.daemon.request_body import ClientDisconnectedError
 from wigeongw.daemon.request_body import RequestBody
 from wigeongw.daemon.request_body import STREAMED_BODY_BYTES
+from wigeongw.daemon.slow_answers import SlowAnswers
 from wigeongw.decisions.idempotency import Claim
 from wigeongw.decisions.retry import IDEMPOTENT_METHODS
 from wigeongw.settings.schema import Settings
@@ -59,6 +60,7 @@
         idempotency: manager of idempotency keys.
         host_name: name of this entry host.
         resources: what all connections of clients share.
+        slow_answers: the answers that wait for their client.
         in_progress: number of service requests in progress.
         close_connections: whether responses tell clients to close their
             connection.
@@ -74,8 +76,10 @@
         metrics: Metrics,
         host_name: str,
         resources: ClientResources,
+        slow_answers: SlowAnswers,
     ) -> None:
         self.resources = resources
+        self.slow_answers = slow_answers
         self.local_app = local_app
         self.dispatcher = dispatcher
         self.idempotency = idempotency
@@ -250,11 +254,23 @@
         """Stream the response of an upstream to the client."""
         whole = exchange.buffered_body
         size = STREAMED_ANSWER_BYTES if whole is None else len(whole)
+        if whole is not None:
+            # Its upstream is done with it, however slowly the client reads.
+            await exchange.close(is_complete=True)
+            owner_of_slot = None
+        else:
+            owner_of_slot = owner
         with self.resources.answer(owner, size):
-            return await self._stream_response(request, exchange, response)
+            return await self._stream_response(
+                request, exchange, response, owner_of_slot
+            )
 
     async def _stream_response(
-        self, request: Request, exchange: Exchange, response: "ClientResponse"
+        self,
+        request: Request,
+        exchange: Exchange,
+        response: "ClientResponse",
+        owner: Connection | None,
     ) -> Outcome:
         reply = exchange.reply
         headers = response_headers(
@@ -267,7 +283,8 @@
         try:
             await response.send_head(reply.status, headers)
             async for chunk in download.chunks():
-                await response.send_chunk(chunk)
+                with self.slow_answers.wait(request.service, owner):
+                    await response.send_chunk(chunk)
             is_complete = True
             await response.send_end()
         except ResponseTruncatedError:
