--- a/wigeongw/daemon/dispatcher.py
+++ b/wigeongw/daemon/dispatcher.py
@@ -184,13 +184,18 @@
     def _reporting_shortage(self, service: str) -> Iterator[None]:
         """Report while the block waits, after each interval."""
         loop = asyncio.get_running_loop()
+        interval_s = seconds(SHORTAGE_INTERVAL_MS)
+        timer: asyncio.TimerHandle
 
-        def report() -> None:
+        def schedule() -> None:
             nonlocal timer
+            timer = loop.call_later(interval_s, report)
+
+        def report() -> None:
             self.on_shortage(service)
-            timer = loop.call_later(seconds(SHORTAGE_INTERVAL_MS), report)
+            schedule()
 
-        timer = loop.call_later(seconds(SHORTAGE_INTERVAL_MS), report)
+        schedule()
         try:
             yield
         finally:
--- a/wigeongw/daemon/frontend.py
+++ b/wigeongw/daemon/frontend.py
@@ -257,12 +257,10 @@
         if whole is not None:
             # Its upstream is done with it, however slowly the client reads.
             await exchange.close(is_complete=True)
-            owner_of_slot = None
-        else:
-            owner_of_slot = owner
+        holds_slot = whole is None
         with self.resources.answer(owner, size):
             return await self._stream_response(
-                request, exchange, response, owner_of_slot
+                request, exchange, response, owner if holds_slot else None
             )
 
     async def _stream_response(
