--- a/standins/crowd_case.py
+++ b/standins/crowd_case.py
@@ -43,7 +43,7 @@
     memory_mb: int
     max_descriptors: int
 
-    async def play(self, name: str, clients: int = 0) -> None:
+    async def play_crowd(self, name: str, clients: int = 0) -> None:
         """Let a crowd play, ask while it stays, and check the host.
 
         Args:
@@ -128,6 +128,6 @@
     """Return a test method that lets a crowd play."""
 
     async def test(case: CrowdCase) -> None:
-        await case.play(name)
+        await case.play_crowd(name)
 
     return test
--- a/wigeongw/daemon/crowds_test.py
+++ b/wigeongw/daemon/crowds_test.py
@@ -102,10 +102,10 @@
     slots = FEW_SLOTS
 
     async def test_bodies_one_byte_short(self) -> None:
-        await self.play("bodies_one_byte_short")
+        await self.play_crowd("bodies_one_byte_short")
 
     async def test_slow_readers_of_chunks(self) -> None:
-        await self.play("slow_readers_of_chunks")
+        await self.play_crowd("slow_readers_of_chunks")
 
 
 for crowd_name in (*crowds.CROWDS, crowds.ALL_AT_ONCE):
