--- a/standins/crowd_case.py
+++ b/standins/crowd_case.py
@@ -9,8 +9,8 @@
 import unittest
 
 from standins import crowds
-from standins.crowds import Client
-from standins.crowds import Endpoint
+from standins.crowd_client import Client
+from standins.crowd_client import Endpoint
 from standins.process_watch import MB
 from standins.process_watch import ProcessWatch
 
--- a/wigeongw/daemon/crowds_test.py
+++ b/wigeongw/daemon/crowds_test.py
@@ -12,7 +12,7 @@
 from standins import crowds
 from standins.crowd_case import CrowdCase
 from standins.crowd_case import test_of
-from standins.crowds import Endpoint
+from standins.crowd_client import Endpoint
 from standins.process_watch import ProcessWatch
 from standins.scripted_upstream import ReceivedRequest
 from standins.scripted_upstream import ScriptedUpstream
