Tests: a port whose connections have ended may be given out again

Hosts listen with SO_REUSEADDR, so the ports were free for them.

The test of a port in use binds as hosts do, too; what it checks is the same.

--- a/standins/free_ports.py
+++ b/standins/free_ports.py
@@ -46,8 +46,13 @@
 
 
 def is_free(port: int) -> bool:
-    """Return whether the loopback address has no socket on a port."""
+    """Return whether a host could listen on a port of the loopback address.
+
+    As for a host, connections of an earlier one that have ended and whose
+    port the system keeps for a minute (``TIME_WAIT``) do not count.
+    """
     with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             sock.bind((LOOPBACK_IP, port))
         except OSError:
--- a/standins/free_ports_test.py
+++ b/standins/free_ports_test.py
@@ -15,11 +15,25 @@
     return [free_port() for _ in range(count)]
 
 
+def leave_ended_connection(port: int) -> None:
+    """Serve a connection, close it before its client, and stop listening."""
+    with socket.create_server((LOOPBACK_IP, port)) as listener:
+        with socket.create_connection((LOOPBACK_IP, port)):
+            listener.accept()[0].close()
+
+
 class FreePortsTest(unittest.TestCase):
     def test_two_hosts_named_before_either_listens_get_one_port(self) -> None:
         ports = draw_ports(DRAWN_COUNT - 10)
         self.assertEqual(len(set(ports)), len(ports))
 
+    def test_ports_of_hosts_that_have_ended_are_given_out_twice(self) -> None:
+        """The system keeps a port for a minute after its last connection."""
+        for port in draw_ports(20):
+            leave_ended_connection(port)
+        ports = draw_ports(DRAWN_COUNT - 10)
+        self.assertEqual(len(set(ports)), len(ports))
+
     def test_two_test_runs_at_once_get_one_port(self) -> None:
         """Neither listens on a port yet when the other asks."""
         context = multiprocessing.get_context("spawn")
@@ -30,9 +44,7 @@
         self.assertEqual(len(set(drawn_ports)), len(drawn_ports))
 
     def test_port_in_use_is_given_out(self) -> None:
-        with socket.socket() as sock:
-            sock.bind((LOOPBACK_IP, free_port()))
-            sock.listen()
+        with socket.create_server((LOOPBACK_IP, free_port())) as sock:
             port = sock.getsockname()[1]
             self.assertFalse(is_free(port))
             self.assertNotIn(port, draw_ports(DRAWN_COUNT))
