A connection that gave way counts until its transport let go of it

Cause, by a log of the ledger and the allocator every 50 ms: a connection that is given up was forgotten at once, though its descriptor, its objects, what the system had received for it and its requests stay until the loop's next turns. At the peak the ledger knew of 297 connections, and the process had 1,347. In the 34 MB that seemed free it took the bodies of other clients, and those of the given-up ones too: their requests began after that, saw no end of their client yet, and took 64 KiB each.

Now such a connection counts as leaving until its transport lets go of it, nobody else is closed on its account, and its requests learn at once that their client is gone, without their bodies and with no memory for them.

Failed before: the two tests of the ledger and the one of the request.

--- a/wigeongw/adapters/client_protocol.py
+++ b/wigeongw/adapters/client_protocol.py
@@ -105,10 +105,7 @@
         self._cancel_write_timer()
         self.feed.end()
         self.resources.closed(self)
-        for cycle in self.cycles:
-            if not cycle.response_complete:
-                cycle.disconnected = True
-                cycle.message_event.set()
+        self._end_requests()
         super().connection_lost(exc)
         self._unset_keepalive_if_required()
         self._break_cycles()
@@ -119,7 +116,8 @@
             return
         self.has_ended = True
         self.feed.drop()
-        self.resources.closed(self)
+        self._end_requests()
+        self.resources.given_up(self, self._held_by_parser())
         self.resources.on_close(reason)
         # Closing would wait until the client reads.
         self.transport.abort()
@@ -164,7 +162,7 @@
         else:
             FlowControl.resume_reading(self.flow)
         pipelined = len(self.pipeline) * PIPELINED_REQUEST_BYTES
-        heads = sum(self.head_sizes) + self.overhead_held
+        heads = self._held_by_parser()
         held = self.feed.waiting + body + pipelined + heads
         self.resources.set_unread(self, held)
 
@@ -279,6 +277,20 @@
 
     # Internal helpers
 
+    def _held_by_parser(self) -> int:
+        return sum(self.head_sizes) + self.overhead_held
+
+    def _end_requests(self) -> None:
+        """Tell all requests that their client is gone, and drop their bodies.
+
+        A request that has not begun would else take memory for its body.
+        """
+        for cycle in self.cycles:
+            if not cycle.response_complete:
+                cycle.disconnected = True
+                cycle.body = bytearray()
+                cycle.message_event.set()
+
     def _break_cycles(self) -> None:
         """Let go of what refers back to this connection.
 
--- a/wigeongw/adapters/client_resources.py
+++ b/wigeongw/adapters/client_resources.py
@@ -85,12 +85,25 @@
         age_ms = self.clock.now() - self.opened_at.get(connection, 0.0)
         return age_ms < connection_limits.NEW_CONNECTION_MS
 
+    def given_up(self, connection: Connection, rest: int) -> None:
+        """Count a connection as leaving until it is closed.
+
+        Args:
+            connection: it gets no further bytes of any kind.
+            rest: bytes that it keeps until then.
+        """
+        self._drop(connection)
+        self.ledger.leave(connection, rest)
+
     def closed(self, connection: Connection) -> None:
         """Forget a connection that has ended."""
+        self._drop(connection)
+        self.ledger.forget(connection)
+
+    def _drop(self, connection: Connection) -> None:
         self.table.close(connection)
         self.opened_at.pop(connection, None)
         self.ledger.clients = len(self.table)
-        self.ledger.forget(connection)
 
     def set_answer(self, connection: Connection, size: int) -> None:
         """Note what came from an upstream and is not passed on."""
@@ -133,6 +146,9 @@
             Whether they fit; nothing is counted if not.
         """
         ledger = self.ledger
+        if owner in ledger.leaving.sizes:
+            # Nobody would get its answer.
+            return False
         if not ledger.hold_upload(size, whole):
             if owner is None or whole > memory_shares.SMALL_UPLOAD_BYTES:
                 return False
--- a/wigeongw/adapters/message_bounds_test.py
+++ b/wigeongw/adapters/message_bounds_test.py
@@ -18,6 +18,7 @@
 from uvicorn.server import ServerState
 
 from wigeongw.adapters import upstream_connection
+from wigeongw.adapters.client_protocol import connection_of
 from wigeongw.adapters.client_protocol import LimitedProtocol
 from wigeongw.adapters.client_protocol import protocol_class
 from wigeongw.adapters.client_resources import ClientResources
@@ -260,6 +261,34 @@
         run(play)
         self.assertEqual(ended, ["/one"])
 
+    def test_request_of_a_client_that_gave_way_takes_nothing(self) -> None:
+        """It began after that, and its body was held until it noticed."""
+        seen: list[str] = []
+        held: list[bool] = []
+
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            owner = connection_of(scope)
+            held.append(self.resources.hold_upload(9_000, 9_000, owner))
+            seen.append((await receive())["type"])
+
+        async def play() -> None:
+            protocol = self.connect(app)
+            protocol.data_received(
+                b"POST / HTTP/1.1\r\n" + HOST + b"Content-Length: 9000\r\n"
+                b"\r\n" + bytes(5_000)
+            )
+            cycle = protocol.cycle
+            protocol.give_up(CloseReason.CONNECTIONS)
+            self.assertEqual(len(cycle.body), 0)
+            self.assertGreater(self.resources.ledger.leaving.total, 0)
+            await asyncio.sleep(0)
+            protocol.connection_lost(None)
+
+        run(play)
+        self.assertEqual((held, seen), ([False], ["http.disconnect"]))
+        ledger = self.resources.ledger
+        self.assertEqual((ledger.held, ledger.leaving.total), (0, 0))
+
 
 class UpstreamBoundsTest(unittest.TestCase):
     def exchange(self, start: bytes, units: list[bytes]) -> tuple[int, bool]:
--- a/wigeongw/decisions/memory_ledger.py
+++ b/wigeongw/decisions/memory_ledger.py
@@ -69,8 +69,10 @@
 
     Attributes:
         memory_bytes: returns the memory that the process may use.
-        clients: number of connections of clients.
+        clients: number of connections of clients, without those that leave.
         upstreams: number of connections to upstreams.
+        leaving: by connection, what one that was given up takes until the
+            transport has let go of it.
         uploads: bytes of request bodies.
         beyond_share: what an upload that was alone holds beyond the share of
             large ones.
@@ -89,6 +91,7 @@
         self.memory_bytes = memory_bytes
         self.clients = 0
         self.upstreams = 0
+        self.leaving: Holdings[OwnerT] = Holdings()
         self.uploads = 0
         self.beyond_share = 0
         self.arriving: dict[OwnerT, int] = {}
@@ -119,7 +122,15 @@
         """Bytes of answers that clients have not read."""
         return self.undelivered.total
 
+    @property
+    def excess(self) -> int:
+        """Bytes too many once all that leave are gone."""
+        return self.held - self._max_after_leaving()
+
     def _max_held(self) -> int:
+        return max(0, self._max_after_leaving() - self.leaving.total)
+
+    def _max_after_leaving(self) -> int:
         return memory_shares.max_held(
             self.memory_bytes(), self.clients, self.upstreams
         )
@@ -219,7 +230,7 @@
         """
         self.unread.set(owner, size)
         most = memory_shares.max_unread(self.memory_bytes())
-        return self.unread.largest(max(self.unread.total - most, -self.room))
+        return self.unread.largest(max(self.unread.total - most, self.excess))
 
     def set_undelivered(self, owner: OwnerT, size: int) -> list[OwnerT]:
         """Note what a connection's client has not read of its answers.
@@ -229,7 +240,7 @@
         """
         self.undelivered.set(owner, size)
         most = memory_shares.max_undelivered(self.memory_bytes())
-        excess = max(self.undelivered.total - most, -self.room)
+        excess = max(self.undelivered.total - most, self.excess)
         return self.undelivered.longest(excess)
 
     def set_answer(self, owner: OwnerT, size: int) -> list[OwnerT]:
@@ -242,7 +253,7 @@
         if not size:
             return []
         most = memory_shares.max_answers(self.memory_bytes())
-        excess = max(self.answers.total - most, -self.room)
+        excess = max(self.answers.total - most, self.excess)
         return self.answers.longest(excess)
 
     def hold_window(self, owner: OwnerT, size: int) -> bool:
@@ -256,8 +267,24 @@
         """Count a wide receive window as gone."""
         self.windows.set(owner, 0)
 
+    def leave(self, owner: OwnerT, rest: int) -> None:
+        """Count a connection that is given up until it is forgotten.
+
+        No others need to close for it, but nothing may take its place before
+        it is gone.
+
+        Args:
+            owner: the connection.
+            rest: bytes that it keeps beside the least of a connection.
+        """
+        window = self.windows.sizes.get(owner, 0)
+        self.forget(owner)
+        least = memory_shares.CLIENT_CONNECTION_BYTES
+        self.leaving.set(owner, least + rest + window)
+
     def forget(self, owner: OwnerT) -> None:
         """Drop a connection that has ended."""
+        self.leaving.set(owner, 0)
         for kind in (self.unread, self.undelivered, self.answers):
             kind.set(owner, 0)
         self.windows.set(owner, 0)
--- a/wigeongw/decisions/memory_ledger_test.py
+++ b/wigeongw/decisions/memory_ledger_test.py
@@ -148,6 +148,29 @@
         held.release_upload(20_000, "crowd-0")
         self.assertEqual(held.ending.total, 0)
 
+    def test_connection_that_leaves_counts_until_it_is_gone(self) -> None:
+        """Load: a crowd comes back faster than its connections end."""
+        held: MemoryLedger[str] = MemoryLedger(lambda: SMALLEST_MEMORY)
+        held.clients = 1_300
+        before = held.room
+        for number in range(1_000):
+            held.clients -= 1
+            held.leave(f"crowd-{number}", 100)
+        self.assertLessEqual(held.room, before)
+        self.assertFalse(held.hold_upload(before))
+        for number in range(1_000):
+            held.forget(f"crowd-{number}")
+        self.assertTrue(held.hold_upload(before))
+
+    def test_none_is_closed_for_those_that_leave_already(self) -> None:
+        held: MemoryLedger[str] = MemoryLedger(lambda: SMALLEST_MEMORY)
+        held.clients = 300
+        held.set_unread("caller", 2_000)
+        for number in range(2_000):
+            held.leave(f"crowd-{number}", 10_000)
+        self.assertFalse(held.hold_upload(1))
+        self.assertEqual(held.set_unread("caller", 3_000), [])
+
     def test_upload_that_has_ended_does_not_give_way(self) -> None:
         held = ledger()
         held.hold_upload(20_000)
