Little is read of a client before its request asks

A crowd's bytes that lay in the system's buffers were all read in one turn of the loop, up to 13 KB from each of 1,335 connections. Only then the ledger saw them, closed some 400 to 1,000 of the largest at once, and had to wait for the next turn until they were gone. Also each read of asyncio allocates 256 KiB, which the allocator's thresholds map and give back every time: 8.2 us for a read of 300 bytes, 1.3 us for one of at most 16 KiB (20,000 reads each).

Now a read takes 4 KiB before a body, 16 KiB of one, 64 KiB with a wide window, and 16 KiB from an upstream.

The tests of the read sizes fail without the bound (65,536 or 65,537 in place of 4,096 and 16,384).

--- a/wigeongw/adapters/client_protocol.py
+++ b/wigeongw/adapters/client_protocol.py
@@ -15,10 +15,10 @@
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from wigeongw.adapters import receive_window
 from wigeongw.adapters.client_resources import ClientResources
 from wigeongw.adapters.client_resources import CloseReason
 from wigeongw.adapters.client_resources import Connection
+from wigeongw.adapters.receive_window import ReceiveWindow
 from wigeongw.adapters.turn_feed import SLICE_BYTES
 from wigeongw.adapters.turn_feed import TurnFeed
 from wigeongw.core.clock import MS_PER_S
@@ -58,7 +58,7 @@
         overhead_held: bytes of the message since its start or the last byte
             of its body. The parser may keep them.
         head_sizes: bytes of the heads of ``cycles``.
-        is_window_wide: whether more may wait in its receive window.
+        window: what may wait to be read.
         is_reading_head: whether the head of a request is incomplete.
         body_left: bytes that the body still has, if it has a length.
         discarded_body: bytes of a body that came after its response.
@@ -87,7 +87,7 @@
         self.account = MessageAccount(ALLOWANCE_IN_HEADS * limits.head_bytes)
         self.overhead_held = 0
         self.head_sizes: deque[int] = deque()
-        self.is_window_wide = False
+        self.window = ReceiveWindow(transport, self.resources.ledger)
         transport.set_write_buffer_limits(high=MAX_UNCOUNTED_BYTES)
         self.is_reading_head = True
         self.body_left = 0
@@ -244,7 +244,8 @@
             return
         self.account.body += len(body)
         self.overhead_held = 0
-        self._widen_window()
+        rest = max(self.body_left, self.account.body)
+        self.window.receive_body(self, rest)
         self.body_left = max(0, self.body_left - len(body))
         if self.cycle.response_complete:
             self.discarded_body += len(body)
@@ -257,6 +258,7 @@
             return
         self._pass_body_on()
         super().on_message_complete()
+        self.window.end_body()
         self.body_left = 0
         self.overhead_held = 0
         if self.cycles:
@@ -271,7 +273,7 @@
             self.head_sizes.popleft()
         if not self.cycles:
             self.resources.table.set_idle(self)
-            self._narrow_window()
+            self.window.narrow(self)
         super().on_response_complete()
         self.go_on()
 
@@ -304,25 +306,6 @@
         self.cycles.clear()
         self.pipeline.clear()
 
-    def _widen_window(self) -> None:
-        """Receive a long body faster, as long as there is memory for it."""
-        if self.is_window_wide:
-            return
-        rest = max(self.body_left, self.account.body)
-        if rest <= receive_window.WIDE_BYTES:
-            return
-        held = receive_window.WIDE_HELD_BYTES
-        sock = self.transport.get_extra_info("socket")
-        if sock and self.resources.ledger.hold_window(self, held):
-            self.is_window_wide = True
-            receive_window.widen(sock)
-
-    def _narrow_window(self) -> None:
-        if self.is_window_wide and not self.transport.is_closing():
-            self.is_window_wide = False
-            receive_window.narrow(self.transport.get_extra_info("socket"))
-            self.resources.ledger.release_window(self)
-
     def _pass_body_on(self) -> None:
         if self.body_pieces:
             body = b"".join(self.body_pieces)
--- a/wigeongw/adapters/upstream_connection.py
+++ b/wigeongw/adapters/upstream_connection.py
@@ -16,6 +16,7 @@
 
 import httptools
 
+from wigeongw.adapters import receive_window
 from wigeongw.adapters.body_stream import BodyStream
 from wigeongw.adapters.client_resources import CloseReason
 from wigeongw.adapters.turn_feed import TurnFeed
@@ -168,6 +169,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit how long sent bytes may stay unacknowledged."""
         self.transport = cast(asyncio.Transport, transport)
+        receive_window.read_at_most(transport, receive_window.BODY_READ_BYTES)
         self.open_connections.add(self)
         self.note_held(self, 0)
         sock = transport.get_extra_info("socket")
