--- a/wigeongw/adapters/allocator.py
+++ b/wigeongw/adapters/allocator.py
@@ -12,7 +12,7 @@
 TRIM_THRESHOLD = -1
 MMAP_THRESHOLD = -3
 # Blocks from this size on are mapped by themselves.
-LARGE_BLOCK_BYTES = 32 << 10
+LARGE_BLOCK_BYTES = 128 << 10
 
 
 def return_large_blocks() -> None:
