Tidy: a connection to an upstream keeps its parsing; three parts move out

No behaviour changes: 88 tests of the connection, its bounds and the exchanges over it pass, lint and types too.

--- a/wigeongw/adapters/message_bounds_test.py
+++ b/wigeongw/adapters/message_bounds_test.py
@@ -23,8 +23,8 @@
 from wigeongw.adapters.client_protocol import protocol_class
 from wigeongw.adapters.client_resources import ClientResources
 from wigeongw.adapters.client_resources import CloseReason
-from wigeongw.adapters.upstream_connection import ExchangeError
 from wigeongw.adapters.upstream_connection import UpstreamConnection
+from wigeongw.adapters.upstream_reply import ExchangeError
 from wigeongw.core.site import ClientLimits
 from wigeongw.decisions.message_account import MAX_OVERHEAD_PER_BODY_BYTE
 from wigeongw.decisions.message_account import MessageAccount
--- a/wigeongw/adapters/upstream_connection.py
+++ b/wigeongw/adapters/upstream_connection.py
@@ -8,18 +8,18 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
-import select
-import socket
 from typing import cast
 
 import httptools
 
+from wigeongw.adapters import keep_alive_header
 from wigeongw.adapters import receive_window
+from wigeongw.adapters import socket_state
 from wigeongw.adapters.body_stream import BodyStream
 from wigeongw.adapters.client_resources import CloseReason
 from wigeongw.adapters.turn_feed import TurnFeed
+from wigeongw.adapters.upstream_reply import BufferedReply
+from wigeongw.adapters.upstream_reply import ExchangeError
 from wigeongw.core.http_status import is_status
 from wigeongw.core.http_status import MIN_FINAL_STATUS
 from wigeongw.decisions.memory_shares import BufferLimits
@@ -40,53 +40,6 @@
 SLICE_BYTES = 16 << 10
 BODILESS_STATUSES = frozenset((204, 304))
 TCP_USER_TIMEOUT_MS = 3_000
-# The limit on idle time until an upstream sends a Keep-Alive timeout.
-DEFAULT_IDLE_TIMEOUT_MS = 8_000.0
-# The fraction of the Keep-Alive timeout for which a connection is reused, so
-# that it is closed here before the upstream closes it.
-IDLE_TIMEOUT_FRACTION = 0.8
-MAX_IDLE_TIMEOUT_DIGITS = 6
-
-
-class ExchangeError(Exception):
-    """An exchange failed.
-
-    Attributes:
-        reason: description that metrics, logs and responses contain.
-        sent: whether any byte of the request may have been sent.
-        is_broken: whether the connection was closed or reset meanwhile.
-    """
-
-    def __init__(
-        self, reason: str, sent: bool, is_broken: bool = False
-    ) -> None:
-        super().__init__(reason)
-        self.reason = reason
-        self.sent = sent
-        self.is_broken = is_broken
-
-
-@dataclass(slots=True)
-class BufferedReply:
-    """An upstream's response.
-
-    Attributes:
-        headers: headers in order, names in lower case.
-        body: the whole body, or its first bytes if ``rest`` is set.
-        rest: the further bytes of a long body; None if there are none.
-        fields: headers by name in lower case.
-        answers_request: whether it is certain that this answers the request:
-            it echoes the request's ID, or nothing was sent before on the
-            connection.
-    """
-
-    status: int
-    headers: list[tuple[bytes, bytes]]
-    body: bytes = b""
-    rest: BodyStream | None = None
-    fields: dict[str, str] = field(default_factory=dict)
-    answers_request: bool = False
-
 
 NoteHeld = Callable[["UpstreamConnection", int], None]
 
@@ -153,7 +106,7 @@
         self.is_stream_paused = False
         self.is_read_paused = False
         self.foreign_responses = 0
-        self.idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS
+        self.idle_timeout_ms = keep_alive_header.DEFAULT_IDLE_TIMEOUT_MS
         self.idle_since = 0.0
         self.limits = limits
         self.note_held = note_held or _ignore
@@ -172,13 +125,7 @@
         receive_window.read_at_most(transport, receive_window.BODY_READ_BYTES)
         self.open_connections.add(self)
         self.note_held(self, 0)
-        sock = transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                TCP_USER_TIMEOUT_MS,
-            )
+        socket_state.limit_unacknowledged(transport, TCP_USER_TIMEOUT_MS)
 
     def data_received(self, data: bytes) -> None:
         """Parse a response; close on bytes that belong to no request."""
@@ -278,14 +225,9 @@
 
         On an idle connection they belong to no request.
         """
-        if self.transport is None:
-            return False
-        sock = self.transport.get_extra_info("socket")
-        if sock is None or sock.fileno() < 0:
-            return False
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return self.transport is not None and socket_state.has_unread_bytes(
+            self.transport
+        )
 
     async def exchange(
         self,
@@ -383,7 +325,11 @@
             return
         is_echo = bool(self.request_id) and echoed is not None
         self.has_echoed = self.has_echoed or is_echo
-        self._read_keep_alive(fields)
+        if keep_alive_header.says_close(fields):
+            self.is_reusable = False
+        self.idle_timeout_ms = keep_alive_header.idle_timeout_ms(
+            fields, self.idle_timeout_ms
+        )
         self.reply = BufferedReply(
             status,
             self.headers,
@@ -455,19 +401,6 @@
         if self.foreign_responses > MAX_FOREIGN_RESPONSES:
             self._fail("answers to other requests")
 
-    def _read_keep_alive(self, fields: dict[str, str]) -> None:
-        if fields.get("connection", "").lower() == "close":
-            self.is_reusable = False
-        for part in fields.get("keep-alive", "").split(","):
-            name, _, value = part.strip().partition("=")
-            is_number = value.isascii() and value.isdigit()
-            if name.lower() != "timeout" or not is_number:
-                continue
-            if len(value) <= MAX_IDLE_TIMEOUT_DIGITS:
-                self.idle_timeout_ms = (
-                    int(value) * 1000.0 * IDLE_TIMEOUT_FRACTION
-                )
-
     def _complete_response(self) -> None:
         assert self.reply is not None
         self.is_complete = True
--- a/wigeongw/adapters/upstream_connection_test.py
+++ b/wigeongw/adapters/upstream_connection_test.py
@@ -18,9 +18,9 @@
 from standins.scripted_upstream import ScriptedUpstream
 from standins.scripted_upstream import status_response
 from standins.scripted_upstream import STATUSES
-from wigeongw.adapters.upstream_connection import ExchangeError
 from wigeongw.adapters.upstream_connection import UpstreamConnection
 from wigeongw.adapters.upstream_pool import UpstreamPool
+from wigeongw.adapters.upstream_reply import ExchangeError
 from wigeongw.core.clock import Clock
 from wigeongw.core.site import Target
 
--- a/wigeongw/adapters/upstream_pool.py
+++ b/wigeongw/adapters/upstream_pool.py
@@ -6,8 +6,8 @@
 
 from wigeongw.adapters import receive_window
 from wigeongw.adapters.client_resources import ClientResources
-from wigeongw.adapters.upstream_connection import ExchangeError
 from wigeongw.adapters.upstream_connection import UpstreamConnection
+from wigeongw.adapters.upstream_reply import ExchangeError
 from wigeongw.core.addresses import split_address
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
--- a/wigeongw/gateway/availability_reader.py
+++ b/wigeongw/gateway/availability_reader.py
@@ -6,7 +6,7 @@
 from wigeongw.adapters.observation_codec import hash_identity
 from wigeongw.adapters.retry_after_header import read_retry_after
 from wigeongw.adapters.retry_after_header import RetryAfterError
-from wigeongw.adapters.upstream_connection import BufferedReply
+from wigeongw.adapters.upstream_reply import BufferedReply
 from wigeongw.core.log_throttle import LogThrottle
 from wigeongw.gateway.notice_exchange import NoticeExchange
 from wigeongw.gateway.state import GatewayState
--- a/wigeongw/gateway/client_exchange.py
+++ b/wigeongw/gateway/client_exchange.py
@@ -10,8 +10,8 @@
 from wigeongw.adapters.body_stream import BodyStream
 from wigeongw.adapters.client_protocol import connection_of
 from wigeongw.adapters.client_protocol import RAW_TARGET_EXTENSION
-from wigeongw.adapters.upstream_connection import BufferedReply
 from wigeongw.adapters.upstream_connection import UpstreamConnection
+from wigeongw.adapters.upstream_reply import BufferedReply
 from wigeongw.core.clock import MS_PER_S
 from wigeongw.core.clock import seconds
 from wigeongw.core.http_headers import HOP_BY_HOP_HEADERS
--- a/wigeongw/gateway/prober.py
+++ b/wigeongw/gateway/prober.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import Iterable
 
-from wigeongw.adapters.upstream_connection import ExchangeError
 from wigeongw.adapters.upstream_pool import UpstreamPool
+from wigeongw.adapters.upstream_reply import ExchangeError
 from wigeongw.core.clock import seconds
 from wigeongw.decisions import placement as placements
 from wigeongw.gateway.availability_reader import AvailabilityReader
--- a/wigeongw/gateway/rate_limit_reader.py
+++ b/wigeongw/gateway/rate_limit_reader.py
@@ -2,7 +2,7 @@
 
 from wigeongw.adapters.rate_limit_header import RateLimitHeaderError
 from wigeongw.adapters.rate_limit_header import read_rate_limit
-from wigeongw.adapters.upstream_connection import BufferedReply
+from wigeongw.adapters.upstream_reply import BufferedReply
 from wigeongw.core.log_throttle import LogThrottle
 from wigeongw.core.site import RateLimit
 from wigeongw.gateway.state import GatewayState
--- a/wigeongw/gateway/rate_limiter_test.py
+++ b/wigeongw/gateway/rate_limiter_test.py
@@ -13,7 +13,7 @@
 from wigeongw.adapters.grant_codec import GrantCodecError
 from wigeongw.adapters.grant_codec import GrantReply
 from wigeongw.adapters.observation_codec import hash_identity
-from wigeongw.adapters.upstream_connection import BufferedReply
+from wigeongw.adapters.upstream_reply import BufferedReply
 from wigeongw.core.clock import Clock
 from wigeongw.core.metrics import Metrics
 from wigeongw.core.site import Host
--- a/wigeongw/gateway/upstream_sender.py
+++ b/wigeongw/gateway/upstream_sender.py
@@ -6,10 +6,10 @@
 
 from dataclasses import dataclass
 
-from wigeongw.adapters.upstream_connection import BufferedReply
-from wigeongw.adapters.upstream_connection import ExchangeError
 from wigeongw.adapters.upstream_connection import UpstreamConnection
 from wigeongw.adapters.upstream_pool import UpstreamPool
+from wigeongw.adapters.upstream_reply import BufferedReply
+from wigeongw.adapters.upstream_reply import ExchangeError
 from wigeongw.core.records import Outcome
 from wigeongw.decisions import rollout
 from wigeongw.decisions.placement import Placement
