Nobody is closed for an upload whose connection leaves already

When a connection gave way, the bytes that its request held stayed counted until the request ended, a turn of the loop later. In that turn each further read of anyone asked for its own bytes once more, so with small bodies of many clients all 470 uploads and 700 connections were closed where some tens were enough (log of the ledger every 50 ms: 37.1 MB of uploads until the turn ended, then none).

What such a connection's upload holds is now set off against the excess, as for one that gave way to a small upload. The new test failed before (another connection was named).

--- a/wigeongw/decisions/memory_ledger.py
+++ b/wigeongw/decisions/memory_ledger.py
@@ -80,6 +80,7 @@
             order in which they began.
         ending: by connection, bytes of uploads that gave way and are not gone
             yet; only small uploads take their place.
+        abandoned: by connection, bytes of other uploads of those that leave.
         unread: by connection, bytes received that no request has taken.
         undelivered: by connection, bytes of answers that its client has not
             read.
@@ -96,6 +97,7 @@
         self.beyond_share = 0
         self.arriving: dict[OwnerT, int] = {}
         self.ending: Holdings[OwnerT] = Holdings()
+        self.abandoned: Holdings[OwnerT] = Holdings()
         self.unread: Holdings[OwnerT] = Holdings()
         self.undelivered: Holdings[OwnerT] = Holdings()
         self.answers: Holdings[OwnerT] = Holdings()
@@ -125,7 +127,8 @@
     @property
     def excess(self) -> int:
         """Bytes too many once all that leave are gone."""
-        return self.held - self._max_after_leaving()
+        going = self.ending.total + self.abandoned.total
+        return self.held - going - self._max_after_leaving()
 
     def _max_held(self) -> int:
         return max(0, self._max_after_leaving() - self.leaving.total)
@@ -182,6 +185,7 @@
         if owner is not None:
             self.set_arriving(owner, 0)
             self.ending.set(owner, 0)
+            self.abandoned.set(owner, 0)
         memory = self.memory_bytes()
         if self.uploads <= memory_shares.max_large_uploads(memory):
             self.beyond_share = 0
@@ -278,6 +282,7 @@
             rest: bytes that it keeps beside the least of a connection.
         """
         window = self.windows.sizes.get(owner, 0)
+        self.abandoned.set(owner, self.arriving.get(owner, 0))
         self.forget(owner)
         least = memory_shares.CLIENT_CONNECTION_BYTES
         self.leaving.set(owner, least + rest + window)
--- a/wigeongw/decisions/memory_ledger_test.py
+++ b/wigeongw/decisions/memory_ledger_test.py
@@ -171,6 +171,20 @@
         self.assertFalse(held.hold_upload(1))
         self.assertEqual(held.set_unread("caller", 3_000), [])
 
+    def test_none_is_closed_for_an_upload_that_leaves(self) -> None:
+        """Load: all that may be held is, and requests end a turn later."""
+        held = ledger()
+        for owner in OWNERS:
+            self.assertTrue(held.hold_upload(40_000))
+            held.set_arriving(owner, 40_000)
+        self.assertEqual(held.set_answer("slow", 200_000), [])
+        self.assertEqual(held.set_unread("a", 60_000), ["a"])
+        held.leave("a", 0)
+        self.assertEqual(held.set_unread("b", 60_000), [])
+        held.release_upload(40_000, "a")
+        self.assertEqual(held.abandoned.total, 0)
+        self.assertEqual(held.set_unread("b", 95_000), ["b"])
+
     def test_upload_that_has_ended_does_not_give_way(self) -> None:
         held = ledger()
         held.hold_upload(20_000)
