A body waits unread for its request while room is scarce

Now reading pauses once more of a body waits for its request than an equal part of the room for each connection, 64 KiB at most as before, 4 KiB at least. In calm nothing changes. A read of `serve` takes 4 KiB, or 64 KiB with a wide window; the size between is gone.

The new test failed before (reading went on).

--- a/wigeongw/adapters/client_protocol.py
+++ b/wigeongw/adapters/client_protocol.py
@@ -23,6 +23,7 @@
 from wigeongw.adapters.turn_feed import TurnFeed
 from wigeongw.core.clock import MS_PER_S
 from wigeongw.core.clock import seconds
+from wigeongw.decisions.memory_shares import MAX_WAITING_BODY_BYTES
 from wigeongw.decisions.message_account import MessageAccount
 
 # Idle connections are closed this much later than clients are told.
@@ -36,8 +37,8 @@
 # A message may have so many times the size of a head beside its body: for
 # the head itself, and for framing and trailers.
 ALLOWANCE_IN_HEADS = 2
-# Parsing stops while more of a body waits for its request.
-MAX_WAITING_BODY_BYTES = 64 << 10
+# So much of a body may always wait for its request, however many there are.
+MIN_WAITING_BODY_BYTES = 4 << 10
 # Reading stops while more bytes wait to be parsed. Until then the end of the
 # connection is noticed.
 MAX_UNPARSED_BYTES = 16 << 10
@@ -156,7 +157,8 @@
             return
         body = sum(len(cycle.body) for cycle in self.cycles)
         if self.feed.waiting > MAX_UNPARSED_BYTES or (
-            body > MAX_WAITING_BODY_BYTES
+            body > MIN_WAITING_BODY_BYTES
+            and body > self.resources.ledger.max_waiting_body
         ):
             FlowControl.pause_reading(self.flow)
         else:
@@ -258,7 +260,6 @@
             return
         self._pass_body_on()
         super().on_message_complete()
-        self.window.end_body()
         self.body_left = 0
         self.overhead_held = 0
         if self.cycles:
--- a/wigeongw/adapters/message_bounds_test.py
+++ b/wigeongw/adapters/message_bounds_test.py
@@ -26,6 +26,7 @@
 from wigeongw.adapters.upstream_connection import UpstreamConnection
 from wigeongw.adapters.upstream_reply import ExchangeError
 from wigeongw.core.site import ClientLimits
+from wigeongw.decisions import memory_shares
 from wigeongw.decisions.message_account import MAX_OVERHEAD_PER_BODY_BYTE
 from wigeongw.decisions.message_account import MessageAccount
 
@@ -289,6 +290,52 @@
         ledger = self.resources.ledger
         self.assertEqual((ledger.held, ledger.leaving.total), (0, 0))
 
+    async def send_body(self, clients: int) -> tuple[bool, int]:
+        """Send a body in two parts, the second once its request has begun.
+
+        Returns:
+            Whether reading was paused before that, and the bytes that the
+            request received.
+        """
+        received = bytearray()
+        begin = asyncio.Event()
+
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            await begin.wait()
+            message = {"more_body": True}
+            while message.get("more_body"):
+                message = await receive()
+                received.extend(message.get("body", b""))
+
+        protocol = self.connect(app)
+        self.resources.ledger.clients = clients
+        head = b"POST / HTTP/1.1\r\n" + HOST + b"Content-Length: 9000\r\n\r\n"
+        await self.send(protocol, head + bytes(6_000))
+        transport = cast(FakeTransport, protocol.transport)
+        was_paused = transport.is_paused
+        begin.set()
+        await self.send(protocol, bytes(3_000))
+        for _ in range(5):
+            await asyncio.sleep(0)
+        self.assertFalse(transport.is_paused)
+        protocol.connection_lost(None)
+        return was_paused, len(received)
+
+    def test_body_waits_unread_for_its_request_while_room_is_scarce(
+        self,
+    ) -> None:
+        """Load: many clients, whose bodies arrive before any request runs."""
+        room = self.resources.ledger.room
+        full = room // memory_shares.CLIENT_CONNECTION_BYTES
+        seen: list[tuple[bool, int]] = []
+
+        async def play() -> None:
+            seen.append(await self.send_body(full - 10))
+            seen.append(await self.send_body(1))
+
+        run(play)
+        self.assertEqual(seen, [(True, 9_000), (False, 9_000)])
+
 
 class UpstreamBoundsTest(unittest.TestCase):
     def exchange(self, start: bytes, units: list[bytes]) -> tuple[int, bool]:
--- a/wigeongw/adapters/receive_window.py
+++ b/wigeongw/adapters/receive_window.py
@@ -21,10 +21,11 @@
 # What may wait on a connection with each window, in bytes of memory.
 NARROW_HELD_BYTES = 16 << 10
 WIDE_HELD_BYTES = 128 << 10
-# A read takes at most so much: of a head, of a body, and with a wide window.
-HEAD_READ_BYTES = 4 << 10
-BODY_READ_BYTES = 16 << 10
+# A read takes at most so much of a client, with a wide window, and of an
+# upstream.
+NARROW_READ_BYTES = 4 << 10
 WIDE_READ_BYTES = 64 << 10
+UPSTREAM_READ_BYTES = 16 << 10
 
 
 class ReceiveWindow:
@@ -34,7 +35,6 @@
         transport: the connection.
         ledger: counts wide windows.
         is_wide: whether more may wait than at first.
-        is_body: whether a body is being received.
     """
 
     def __init__(
@@ -43,46 +43,37 @@
         self.transport = transport
         self.ledger = ledger
         self.is_wide = False
-        self.is_body = False
-        read_at_most(transport, HEAD_READ_BYTES)
+        read_at_most(transport, NARROW_READ_BYTES)
 
     def receive_body(self, owner: object, rest: int) -> None:
-        """Read more at a time, and let more of a long body wait.
+        """Let more of a long body wait and be read, if there is room.
 
         Args:
             owner: whom the ledger counts a wide window for.
             rest: bytes that are likely to come.
         """
-        if not self.is_wide and rest > WIDE_BYTES:
-            self._widen(owner)
-        if not self.is_body:
-            self.is_body = True
-            size = WIDE_READ_BYTES if self.is_wide else BODY_READ_BYTES
-            read_at_most(self.transport, size)
-
-    def end_body(self) -> None:
-        """Read a head next."""
-        if self.is_body:
-            self.is_body = False
-            read_at_most(self.transport, HEAD_READ_BYTES)
+        if self.is_wide or rest <= WIDE_BYTES:
+            return
+        sock = self.transport.get_extra_info("socket")
+        if sock and self.ledger.hold_window(owner, WIDE_HELD_BYTES):
+            self.is_wide = True
+            widen(sock)
+            read_at_most(self.transport, WIDE_READ_BYTES)
 
     def narrow(self, owner: object) -> None:
         """Let little wait while no request is in progress."""
         if self.is_wide and not self.transport.is_closing():
             self.is_wide = False
             narrow(self.transport.get_extra_info("socket"))
+            read_at_most(self.transport, NARROW_READ_BYTES)
             self.ledger.release_window(owner)
 
-    def _widen(self, owner: object) -> None:
-        sock = self.transport.get_extra_info("socket")
-        if sock and self.ledger.hold_window(owner, WIDE_HELD_BYTES):
-            self.is_wide = True
-            widen(sock)
-            read_at_most(self.transport, WIDE_READ_BYTES)
-
 
 def read_at_most(transport: asyncio.BaseTransport, size: int) -> None:
-    """Bound a read; transports of asyncio allocate 256 KiB for each."""
+    """Bound a read of a transport of asyncio, which else allocates 256 KiB.
+
+    Those of uvloop read into one buffer that all share.
+    """
     if hasattr(transport, "max_size"):
         transport.max_size = size
 
--- a/wigeongw/adapters/upstream_connection.py
+++ b/wigeongw/adapters/upstream_connection.py
@@ -122,7 +122,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit how long sent bytes may stay unacknowledged."""
         self.transport = cast(asyncio.Transport, transport)
-        receive_window.read_at_most(transport, receive_window.BODY_READ_BYTES)
+        receive_window.read_at_most(
+            transport, receive_window.UPSTREAM_READ_BYTES
+        )
         self.open_connections.add(self)
         self.note_held(self, 0)
         socket_state.limit_unacknowledged(transport, TCP_USER_TIMEOUT_MS)
--- a/wigeongw/decisions/memory_ledger.py
+++ b/wigeongw/decisions/memory_ledger.py
@@ -114,6 +114,11 @@
         """Bytes that may still be held; below 0 if too many are."""
         return self._max_held() - self.held
 
+    @property
+    def max_waiting_body(self) -> int:
+        """Bytes of a body that may wait on a connection for its request."""
+        return memory_shares.max_waiting_body(self.room, self.clients)
+
     @property
     def unread_total(self) -> int:
         """Bytes received that no request has taken."""
--- a/wigeongw/decisions/memory_shares.py
+++ b/wigeongw/decisions/memory_shares.py
@@ -32,6 +32,8 @@
 LARGE_UPLOAD_SHARE = 0.8
 # One upload, while others hold little, may take so much of all.
 SOLE_UPLOAD_SHARE = 0.9
+# What may wait of one body until its request takes it.
+MAX_WAITING_BODY_BYTES = 64 << 10
 # Uploads leave so much of all to the heads of other requests.
 SPARE_SHARE = 0.05
 # What is buffered of a response before the client gets the first byte. Until
@@ -118,6 +120,18 @@
     return int(memory * UNREAD_SHARE)
 
 
+def max_waiting_body(room: int, clients: int) -> int:
+    """Return how much of a body may wait on a connection for its request.
+
+    All connections may receive at once, before any request goes on.
+
+    Args:
+        room: bytes that may still be held.
+        clients: number of connections of clients.
+    """
+    return min(MAX_WAITING_BODY_BYTES, max(0, room) // max(1, clients))
+
+
 def max_undelivered(memory: int) -> int:
     """Return how many bytes of answers may wait for their clients."""
     return int(memory * UNDELIVERED_SHARE)
