Uploads leave room for one read of each client

With many clients, uploads filled all that may be held, and then up to 12 KB of each connection were read in one turn of the loop, before anybody could be closed for them: the ledger was exceeded by 12 to 15 MB until the next turns.

Now uploads leave room for a read of each client, less what is unread already, 10 % of the memory at most; a small upload still takes the place of the one that has waited longest.

The new test of the ledger failed before (the first read closed a connection).

--- a/wigeongw/decisions/memory_ledger.py
+++ b/wigeongw/decisions/memory_ledger.py
@@ -163,7 +163,7 @@
         most = self._max_held()
         is_small = whole <= memory_shares.SMALL_UPLOAD_BYTES
         ending = self.ending.total if is_small else 0
-        if size > self.room + ending - most * memory_shares.SPARE_SHARE:
+        if size > self.room + ending - self._spare(most):
             return False
         memory = self.memory_bytes()
         held = self.held - self.beyond_share - ending
@@ -179,6 +179,13 @@
             return True
         return False
 
+    def _spare(self, most: int) -> float:
+        """Return what uploads leave: what may arrive before they are told."""
+        memory = self.memory_bytes()
+        in_turn = memory_shares.max_in_turn(memory, self.clients)
+        arriving = in_turn - self.unread.total
+        return max(most * memory_shares.SPARE_SHARE, arriving)
+
     def release_upload(self, size: int, owner: OwnerT | None = None) -> None:
         """Count bytes of a request body as gone.
 
--- a/wigeongw/decisions/memory_ledger_test.py
+++ b/wigeongw/decisions/memory_ledger_test.py
@@ -134,6 +134,17 @@
         self.assertGreater(held.room, LEAST_POOL)
         self.assertTrue(held.hold_upload(2_000))
 
+    def test_uploads_leave_room_for_what_arrives_in_one_turn(self) -> None:
+        """Load: each client has sent a part of a body that nobody read yet."""
+        held: MemoryLedger[int] = MemoryLedger(lambda: SMALLEST_MEMORY)
+        held.clients = 1_200
+        while held.hold_upload(memory_shares.SMALL_UPLOAD_BYTES):
+            pass
+        self.assertGreater(held.uploads, LEAST_POOL)
+        for owner in range(held.clients):
+            read = memory_shares.CLIENT_READ_BYTES
+            self.assertEqual(held.set_unread(owner, read), [])
+
     def test_oldest_upload_gives_way_to_a_small_one(self) -> None:
         """Load: bodies without their end hold all that uploads may."""
         held = ledger()
--- a/wigeongw/decisions/memory_shares.py
+++ b/wigeongw/decisions/memory_shares.py
@@ -18,6 +18,8 @@
 # system received and nobody read, what waits to be sent uncounted, objects.
 CLIENT_CONNECTION_BYTES = 32 << 10
 UPSTREAM_CONNECTION_BYTES = 20 << 10
+# What is read of a client at once, from a narrow window.
+CLIENT_READ_BYTES = 12 << 10
 # Shares of a host's memory; all of them, the program and the connections
 # together stay within it.
 UPLOAD_SHARE = 0.4
@@ -120,6 +122,18 @@
     return int(memory * UNREAD_SHARE)
 
 
+def max_in_turn(memory: int, clients: int) -> int:
+    """Return what clients may send in one turn of the event loop.
+
+    Nobody is closed for it before it has been read.
+
+    Args:
+        memory: bytes that the host may use.
+        clients: number of connections of clients.
+    """
+    return min(max_unread(memory), clients * CLIENT_READ_BYTES)
+
+
 def max_waiting_body(room: int, clients: int) -> int:
     """Return how much of a body may wait on a connection for its request.
 
