A connection is not closed before its request could be read

Callers could find every new connection reset while a crowd comes back: a new one is not closed for another for 100 ms, by the clock, but a turn of the event loop may last longer (some 300 connections are accepted in one). Those opened in the turn before were then the first to go, though their requests had arrived.

The time now ends by a timer of the loop, which runs after what has arrived by then was read. The new test opens connections, keeps the turn busy for 150 ms and opens one more: the first was closed before, now the last is, and the first once the loop has run.

--- a/wigeongw/adapters/client_resources.py
+++ b/wigeongw/adapters/client_resources.py
@@ -1,5 +1,6 @@
 """What all client connections of a process share: limits, memory, a table."""
 
+import asyncio
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
@@ -8,7 +9,7 @@
 import enum
 from typing import Protocol
 
-from wigeongw.core.clock import Clock
+from wigeongw.core.clock import seconds
 from wigeongw.core.site import ClientLimits
 from wigeongw.core.site import DEFAULT_DESCRIPTORS
 from wigeongw.core.site import DEFAULT_MEMORY_BYTES
@@ -55,8 +56,9 @@
         descriptors: the descriptors that the process may have.
         on_close: called with the reason for which a connection was closed.
         table: the open connections.
-        opened_at: when each was opened, by the clock.
-        clock: tells the age of a connection.
+        new: by connection that was just opened, what ends its time. It is a
+            timer, as a turn of the event loop may last longer: what has
+            arrived by then is read before.
     """
 
     get_limits: Callable[[], ClientLimits] = ClientLimits
@@ -66,25 +68,28 @@
     descriptors: int = DEFAULT_DESCRIPTORS
     on_close: Callable[[CloseReason], None] = _ignore
     table: ConnectionTable[Connection] = field(default_factory=ConnectionTable)
-    opened_at: dict[Connection, float] = field(default_factory=dict)
-    clock: Clock = field(default_factory=Clock)
+    new: dict[Connection, asyncio.TimerHandle] = field(default_factory=dict)
 
     def opened(self, connection: Connection) -> None:
         """Add a connection; close one that waits if there are too many."""
         most = connection_limits.max_client_connections(self.descriptors)
         if not self.ledger.has_room_for_client():
             most = min(most, len(self.table))
-        self.opened_at[connection] = self.clock.now()
-        not_reading = self.ledger.undelivered.sizes
-        excess = self.table.open(connection, most, not_reading, self._is_new)
+        self.new[connection] = asyncio.get_running_loop().call_later(
+            seconds(connection_limits.NEW_CONNECTION_MS),
+            self.new.pop,
+            connection,
+        )
+        excess = self.table.open(
+            connection,
+            most,
+            self.ledger.undelivered.sizes,
+            self.new.__contains__,
+        )
         self.ledger.clients = len(self.table)
         if excess is not None:
             excess.give_up(CloseReason.CONNECTIONS)
 
-    def _is_new(self, connection: Connection) -> bool:
-        age_ms = self.clock.now() - self.opened_at.get(connection, 0.0)
-        return age_ms < connection_limits.NEW_CONNECTION_MS
-
     def given_up(self, connection: Connection, rest: int) -> None:
         """Count a connection as leaving until it is closed.
 
@@ -102,7 +107,9 @@
 
     def _drop(self, connection: Connection) -> None:
         self.table.close(connection)
-        self.opened_at.pop(connection, None)
+        timer = self.new.pop(connection, None)
+        if timer is not None:
+            timer.cancel()
         self.ledger.clients = len(self.table)
 
     def set_answer(self, connection: Connection, size: int) -> None:
--- a/wigeongw/adapters/message_bounds_test.py
+++ b/wigeongw/adapters/message_bounds_test.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 import logging
+import time
 from typing import Any
 from typing import cast
 import unittest
@@ -26,6 +27,7 @@
 from wigeongw.adapters.upstream_connection import UpstreamConnection
 from wigeongw.adapters.upstream_reply import ExchangeError
 from wigeongw.core.site import ClientLimits
+from wigeongw.decisions import connection_limits
 from wigeongw.decisions import memory_shares
 from wigeongw.decisions.message_account import MAX_OVERHEAD_PER_BODY_BYTE
 from wigeongw.decisions.message_account import MessageAccount
@@ -34,6 +36,8 @@
 BODY_BYTES = 20_000
 REPEATS = 400
 MAX_PIECES = 30_000
+# Longer than a new connection is not closed for another one.
+NEW_CONNECTION_S = 0.15
 HOST = b"Host: a\r\n"
 CHUNKED_HEAD = (
     b"POST / HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -93,6 +97,11 @@
         pass
 
 
+def keep_turn_busy() -> None:
+    """Let the turn of the event loop last long."""
+    time.sleep(NEW_CONNECTION_S)
+
+
 def run(play: Callable[[], Any]) -> None:
     """Run a coroutine function on a new event loop."""
     with asyncio.Runner(debug=False) as runner:
@@ -290,6 +299,28 @@
         ledger = self.resources.ledger
         self.assertEqual((ledger.held, ledger.leaving.total), (0, 0))
 
+    def test_connection_is_not_closed_before_it_could_be_read(self) -> None:
+        """Load: a crowd comes back, and turns of the loop last longer."""
+        most = connection_limits.MIN_CONNECTIONS
+        self.resources = ClientResources(
+            descriptors=0, on_close=self.closed.append
+        )
+
+        async def play() -> None:
+            opened = [self.connect() for _ in range(most)]
+            keep_turn_busy()
+            opened.append(self.connect())
+            ended = [p.transport.is_closing() for p in opened]
+            self.assertEqual(ended, [False] * most + [True])
+            await asyncio.sleep(NEW_CONNECTION_S)
+            opened.append(self.connect())
+            self.assertTrue(opened[0].transport.is_closing())
+            for protocol in opened:
+                protocol.connection_lost(None)
+
+        run(play)
+        self.assertEqual(self.resources.new, {})
+
     async def send_body(self, clients: int) -> tuple[bool, int]:
         """Send a body in two parts, the second once its request has begun.
 
