serve: a small body of unknown length takes no slot before its end

Cause: a body without a length was passed on from its first byte, so that its request took a slot of its upstream and kept it until its deadline or until its connection gave way, with nothing to pass on. Seen in the answers that ordinary requests got beside the crowd.

A whole one can be sent again by a retry.

--- a/wigeongw/daemon/crowds_test.py
+++ b/wigeongw/daemon/crowds_test.py
@@ -11,7 +11,9 @@
 
 from standins import crowds
 from standins.crowd_case import CrowdCase
+from standins.crowd_case import SETTLE_S
 from standins.crowd_case import test_of
+from standins.crowd_client import Client
 from standins.crowd_client import Endpoint
 from standins.process_watch import ProcessWatch
 from standins.scripted_upstream import ReceivedRequest
@@ -29,6 +31,7 @@
 SLOTS = 256
 FEW_SLOTS = 4
 LOAD_REPORT = b'{"start": "s-1", "in_flight": 0, "leaving": false}'
+LONG_DEADLINE = "Wigeongw-Deadline-Ms: 60000"
 SETTINGS_TIMEOUT_MS = 20_000.0
 
 
@@ -104,10 +107,32 @@
     async def test_bodies_one_byte_short(self) -> None:
         await self.play_crowd("bodies_one_byte_short")
 
+    async def test_trailers_of_many_clients(self) -> None:
+        await self.play_crowd("trailers_of_many_clients")
+
+    async def test_trailers_in_pieces(self) -> None:
+        await self.play_crowd("trailers_in_pieces")
+
     async def test_slow_readers_of_chunks(self) -> None:
         await self.play_crowd("slow_readers_of_chunks")
 
 
+class OneSlotTest(ServeCase):
+    """One client that could keep the only slot."""
+
+    slots = 1
+
+    async def test_small_body_without_its_end_takes_no_slot(self) -> None:
+        """An ordinary request waited for the slot until its own deadline."""
+        client = Client(self.endpoint)
+        self.addCleanup(client.close)
+        await client.connect()
+        head = self.endpoint.write("Transfer-Encoding: chunked", LONG_DEADLINE)
+        await client.send(head + crowds.chunk(b"x"))
+        await asyncio.sleep(SETTLE_S)
+        self.assertEqual(await self.status_of("GET"), 200)
+
+
 for crowd_name in (*crowds.CROWDS, crowds.ALL_AT_ONCE):
     setattr(CrowdsTest, f"test_{crowd_name}", test_of(crowd_name))
 
--- a/wigeongw/daemon/frontend.py
+++ b/wigeongw/daemon/frontend.py
@@ -221,7 +221,7 @@
 
         A buffered body can be sent again by a retry. The body of a request
         with an idempotency key is always buffered, because its digest is part
-        of the claim.
+        of the claim. One of unknown length is buffered until it is not small.
 
         Args:
             context: request to read the body of.
@@ -235,11 +235,13 @@
         """
         max_bytes = MAX_KEYED_BODY_BYTES if keyed else MAX_BUFFERED_BODY_BYTES
         length = context.parsed.length
-        if not keyed and (length is None or length > max_bytes):
+        if not keyed and length is not None and length > max_bytes:
             context.body.hold(STREAMED_BODY_BYTES)
             return context.body.stream()
         try:
             async with asyncio.timeout(seconds(context.parsed.deadline_ms)):
+                if not keyed and length is None:
+                    return await context.body.read_unless_long(max_bytes)
                 return await context.body.read(max_bytes)
         except TimeoutError as error:
             raise Problem(408, "The body came too slowly") from error
--- a/wigeongw/daemon/request_body.py
+++ b/wigeongw/daemon/request_body.py
@@ -101,6 +101,32 @@
             self.resources.ledger.set_arriving(self.owner, 0)
         return b"".join(chunks)
 
+    async def read_unless_long(
+        self, max_bytes: int
+    ) -> bytes | AsyncIterator[bytes]:
+        """Read a body of unknown length until its end or so many bytes.
+
+        Until then nobody but its client is waited for. Were it passed on from
+        its first byte, one that never ends would keep its upstream's slot.
+
+        Returns:
+            The whole body, or a stream of the chunks of a longer one.
+
+        Raises:
+            Problem: when it does not fit into the memory.
+        """
+        chunks: list[bytes] = []
+        stream = self.stream()
+        async for chunk in stream:
+            chunks.append(chunk)
+            if self.size > max_bytes:
+                self.hold(STREAMED_BODY_BYTES)
+                return _joined(chunks, stream)
+            self.hold(len(chunk))
+        if self.owner is not None:
+            self.resources.ledger.set_arriving(self.owner, 0)
+        return b"".join(chunks)
+
     async def stream(self) -> AsyncIterator[bytes]:
         """Yield the body in chunks as they arrive."""
         while not self.is_ended:
@@ -138,6 +164,16 @@
             pass
 
 
+async def _joined(
+    chunks: list[bytes], rest: AsyncIterator[bytes]
+) -> AsyncIterator[bytes]:
+    """Yield chunks that have arrived, and then those that arrive."""
+    while chunks:
+        yield chunks.pop(0)
+    async for chunk in rest:
+        yield chunk
+
+
 @contextlib.asynccontextmanager
 async def cancel_on_disconnect(
     body: RequestBody, response: ClientResponse
