serve: a body that is not sent on gives its slot back

One client that stopped one byte short of the end of a long body kept its slot of the upstream until its own deadline; with as many such clients as slots, ordinary callers got 504.

Cause: only answers that their clients did not read gave way to requests that wait for a slot. Now bodies that are passed on as they arrive do, too, under the same rule: after 250 ms of waiting, the exchange is closed whose client has sent or read nothing for a second or more, the longest first. The module that knows them is renamed to slow_clients.

The new test (one slot, 4 MB less one byte) failed before: 504 after 5 s; now 200. The tests of whole and chunked small bodies and of slow readers pass.

--- a/wigeongw/daemon/crowds_test.py
+++ b/wigeongw/daemon/crowds_test.py
@@ -122,16 +122,29 @@
 
     slots = 1
 
-    async def test_small_body_without_its_end_takes_no_slot(self) -> None:
-        """An ordinary request waited for the slot until its own deadline."""
+    async def check_slot_beside(self, line: str, body: bytes) -> None:
+        """Send a body without its end, and then an ordinary request.
+
+        It waited for the slot until its own deadline.
+        """
         client = Client(self.endpoint)
         self.addCleanup(client.close)
         await client.connect()
-        head = self.endpoint.write("Transfer-Encoding: chunked", LONG_DEADLINE)
-        await client.send(head + crowds.chunk(b"x"))
+        await client.send(self.endpoint.write(line, LONG_DEADLINE), body)
         await asyncio.sleep(SETTLE_S)
         self.assertEqual(await self.status_of("GET"), 200)
 
+    async def test_small_body_without_its_end_takes_no_slot(self) -> None:
+        await self.check_slot_beside(
+            "Transfer-Encoding: chunked", crowds.chunk(b"x")
+        )
+
+    async def test_long_body_one_byte_short_gives_its_slot_back(self) -> None:
+        size = crowds.BODY_BYTES
+        await self.check_slot_beside(
+            f"Content-Length: {size}", bytes(size - crowds.HELD_BACK_BYTES)
+        )
+
 
 for crowd_name in (*crowds.CROWDS, crowds.ALL_AT_ONCE):
     setattr(CrowdsTest, f"test_{crowd_name}", test_of(crowd_name))
--- a/wigeongw/daemon/entry_host.py
+++ b/wigeongw/daemon/entry_host.py
@@ -40,7 +40,7 @@
 from wigeongw.daemon.local_resources import StatusResource
 from wigeongw.daemon.permit_manager import PermitManager
 from wigeongw.daemon.site_tracker import SiteTracker
-from wigeongw.daemon.slow_answers import SlowAnswers
+from wigeongw.daemon.slow_clients import SlowClients
 from wigeongw.daemon.store_sync import StoreSync
 from wigeongw.decisions.memory_ledger import MemoryLedger
 from wigeongw.decisions.site_state import SiteState
@@ -153,7 +153,7 @@
             settings.descriptors_most,
             self._count_closed_client,
         )
-        self.slow_answers = SlowAnswers(clock)
+        self.slow_clients = SlowClients(clock)
         self.stop_requested = asyncio.Event()
         self.bound: BoundAddresses | None = None
         self.ready = asyncio.Event()
@@ -272,7 +272,7 @@
             self.decision_log,
             self.metrics,
             self.site_tracker.on_upstream_leaving,
-            self.slow_answers.end_longest,
+            self.slow_clients.end_longest,
         )
         addresses = AddressesResource(
             lambda: self.site_tracker.site,
@@ -289,7 +289,7 @@
             self.metrics,
             self.settings.name,
             self.client_resources,
-            self.slow_answers,
+            self.slow_clients,
         )
         return self.frontend
 
--- a/wigeongw/daemon/frontend.py
+++ b/wigeongw/daemon/frontend.py
@@ -39,7 +39,7 @@
 from wigeongw.daemon.request_body import ClientDisconnectedError
 from wigeongw.daemon.request_body import RequestBody
 from wigeongw.daemon.request_body import STREAMED_BODY_BYTES
-from wigeongw.daemon.slow_answers import SlowAnswers
+from wigeongw.daemon.slow_clients import SlowClients
 from wigeongw.decisions.idempotency import Claim
 from wigeongw.decisions.retry import IDEMPOTENT_METHODS
 from wigeongw.settings.schema import Settings
@@ -60,7 +60,7 @@
         idempotency: manager of idempotency keys.
         host_name: name of this entry host.
         resources: what all connections of clients share.
-        slow_answers: the answers that wait for their client.
+        slow_clients: the exchanges that wait for their client.
         in_progress: number of service requests in progress.
         close_connections: whether responses tell clients to close their
             connection.
@@ -76,10 +76,10 @@
         metrics: Metrics,
         host_name: str,
         resources: ClientResources,
-        slow_answers: SlowAnswers,
+        slow_clients: SlowClients,
     ) -> None:
         self.resources = resources
-        self.slow_answers = slow_answers
+        self.slow_clients = slow_clients
         self.local_app = local_app
         self.dispatcher = dispatcher
         self.idempotency = idempotency
@@ -194,6 +194,10 @@
         body = await self._read_body(
             context, needs_key and bool(context.parsed.key)
         )
+        if not isinstance(body, bytes):
+            body = self.slow_clients.receive(
+                context.service, context.body.owner, body
+            )
         request = Request(
             context.identity,
             context.service,
@@ -283,7 +287,7 @@
         try:
             await response.send_head(reply.status, headers)
             async for chunk in download.chunks():
-                with self.slow_answers.wait(request.service, owner):
+                with self.slow_clients.wait(request.service, owner):
                     await response.send_chunk(chunk)
             is_complete = True
             await response.send_end()
--- a/wigeongw/daemon/slow_answers.py
+++ b/wigeongw/daemon/slow_clients.py
@@ -1,10 +1,12 @@
-"""Ends answers that wait for their client while requests wait for a slot.
+"""Ends exchanges that wait for their client while requests wait for a slot.
 
 An answer that is passed on as it arrives occupies its upstream until its
-client has read it. A crowd that reads slowly would keep all slots for itself;
-so the answer gives way that has waited longest for its client.
+client has read it, and so does a body until its client has sent it. A crowd
+that reads slowly, or stops short of an end, would keep all slots for itself;
+so the exchange gives way that has waited longest for its client.
 """
 
+from collections.abc import AsyncIterator
 from collections.abc import Iterator
 import contextlib
 
@@ -12,12 +14,12 @@
 from wigeongw.adapters.client_resources import Connection
 from wigeongw.core.clock import Clock
 
-# How long an answer may wait for its client while a request wants its slot.
+# How long an exchange may wait for its client while a request wants its slot.
 MAX_CLIENT_WAIT_MS = 1_000.0
 
 
-class SlowAnswers:
-    """The answers that wait for their client.
+class SlowClients:
+    """The exchanges that wait for their client.
 
     Attributes:
         waiting: by service, the clients' connections and since when each has
@@ -30,7 +32,7 @@
 
     @contextlib.contextmanager
     def wait(self, service: str, client: Connection | None) -> Iterator[None]:
-        """Note that a part of an answer is being sent to its client."""
+        """Note that a part is being sent to a client, or awaited from it."""
         if client is None:
             yield
             return
@@ -39,7 +41,22 @@
         try:
             yield
         finally:
-            del waiting[client]
+            # A client may be waited for in both directions.
+            waiting.pop(client, None)
+
+    async def receive(
+        self,
+        service: str,
+        client: Connection | None,
+        chunks: AsyncIterator[bytes],
+    ) -> AsyncIterator[bytes]:
+        """Yield the chunks of a body, and note while one is awaited."""
+        while True:
+            with self.wait(service, client):
+                chunk = await anext(chunks, None)
+            if chunk is None:
+                return
+            yield chunk
 
     def end_longest(self, service: str) -> bool:
         """Close the client that has been waited for longest.
--- a/wigeongw/daemon/slow_answers_test.py
+++ b/wigeongw/daemon/slow_clients_test.py
@@ -4,8 +4,8 @@
 
 from wigeongw.adapters.client_resources import CloseReason
 from wigeongw.core.clock import ManualClock
-from wigeongw.daemon.slow_answers import MAX_CLIENT_WAIT_MS
-from wigeongw.daemon.slow_answers import SlowAnswers
+from wigeongw.daemon.slow_clients import MAX_CLIENT_WAIT_MS
+from wigeongw.daemon.slow_clients import SlowClients
 
 
 class Client:
@@ -16,11 +16,11 @@
         self.reasons.append(reason)
 
 
-class SlowAnswersTest(unittest.TestCase):
+class SlowClientsTest(unittest.TestCase):
     def test_client_that_was_waited_for_longest_gives_way(self) -> None:
         """Load: answers of two services wait, and a request for a slot."""
         clock = ManualClock()
-        answers = SlowAnswers(clock)
+        answers = SlowClients(clock)
         first, second, other = Client(), Client(), Client()
         with (
             answers.wait("other", other),
@@ -36,7 +36,7 @@
 
     def test_client_that_reads_on_does_not_give_way(self) -> None:
         clock = ManualClock()
-        answers = SlowAnswers(clock)
+        answers = SlowClients(clock)
         client = Client()
         for _ in range(5):
             with answers.wait("s", client):
