--- a/standins/fake_transport.py
+++ b/standins/fake_transport.py
@@ -2,7 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 from typing import Any
+from typing import TypeVar
+
+T = TypeVar("T")
 
 
 class FakeTransport(asyncio.Transport):
@@ -52,7 +56,7 @@
         self.is_paused = False
 
 
-def run(play: Callable[[], Any]) -> None:
-    """Run a coroutine function on a new event loop."""
+def run(play: Callable[[], Coroutine[Any, Any, T]]) -> T:
+    """Run a coroutine function on a new event loop; return its result."""
     with asyncio.Runner(debug=False) as runner:
-        runner.run(play())
+        return runner.run(play())
--- a/wigeongw/gateway/endless_answer_test.py
+++ b/wigeongw/gateway/endless_answer_test.py
@@ -29,7 +29,11 @@
 SIZED = HEAD + b"Content-Length: 1000000000000\r\n\r\n"
 # More than is buffered before the client gets the first byte.
 LONG_START = b"x" * (MAX_BUFFERED_BYTES + 1)
-PIECE = b"x" * 65_536
+PIECE_BYTES = 65_536
+PIECE = b"x" * PIECE_BYTES
+# A connection is closed within so many bytes that are no answer, long before
+# the timeout: an exchange may have 64 KiB of them.
+MAX_NO_ANSWER_BYTES = 1 << 20
 
 
 @dataclass(frozen=True)
@@ -40,29 +44,38 @@
         start: its first bytes.
         piece: what follows, again and again; empty for silence.
         pause_s: pause after each piece.
+        is_no_answer: whether its bytes count as none, as they are neither
+            silence nor parts of a body.
     """
 
     name: str
     start: bytes
     piece: bytes
     pause_s: float = 0.0
+    is_no_answer: bool = False
+
+
+def _no_answer(name: str, start: bytes, unit: bytes) -> EndlessAnswer:
+    """Return an answer with so many units a piece that no pause matters."""
+    piece = unit * (PIECE_BYTES // len(unit))
+    return EndlessAnswer(name, start, piece, is_no_answer=True)
 
 
 ANSWERS = (
-    EndlessAnswer("status line", b"HTTP/1.1 200 ", b"O" * 1_000),
+    _no_answer("status line", b"HTTP/1.1 200 ", b"O"),
     EndlessAnswer("silence in the head", HEAD, b"", 0.02),
-    EndlessAnswer("headers", HEAD, b"x-a: " + b"y" * 100 + b"\r\n"),
+    _no_answer("headers", HEAD, b"x-a: " + b"y" * 100 + b"\r\n"),
     EndlessAnswer("slow headers", HEAD, b"x-a: y\r\n", 0.02),
-    EndlessAnswer("informational", b"", b"HTTP/1.1 103 Hints\r\n\r\n"),
+    _no_answer("informational", b"", b"HTTP/1.1 103 Hints\r\n\r\n"),
     EndlessAnswer("slow body", SIZED, b"x", 0.02),
     EndlessAnswer("silence at the start of a body", SIZED, b"", 0.02),
     EndlessAnswer("body without framing", UNFRAMED, PIECE),
     EndlessAnswer("body with a length", SIZED, PIECE),
     EndlessAnswer("chunks", CHUNKED, b"10000\r\n" + PIECE + b"\r\n"),
     EndlessAnswer("tiny chunks", CHUNKED, b"1\r\nx\r\n" * 1_000),
-    EndlessAnswer("chunk size", CHUNKED, b"0" * 1_000),
-    EndlessAnswer("chunk extension", CHUNKED + b"5;", b"a" * 1_000),
-    EndlessAnswer("trailers", CHUNKED + b"1\r\nx\r\n0\r\n", b"x-t: y\r\n"),
+    _no_answer("chunk size", CHUNKED, b"0"),
+    _no_answer("chunk extension", CHUNKED + b"5;", b"a"),
+    _no_answer("trailers", CHUNKED + b"1\r\nx\r\n0\r\n", b"x-t: y\r\n"),
     EndlessAnswer("silence after 1 MiB", SIZED + LONG_START, b"", 0.02),
     EndlessAnswer("slow after 1 MiB", SIZED + LONG_START, b"x", 0.02),
     EndlessAnswer("no framing after 1 MiB", UNFRAMED + LONG_START, b"", 0.02),
@@ -71,7 +84,11 @@
 
 class EndlessAnswerTest(HostCase):
     async def test_client_has_an_end_soon_after_the_timeout(self) -> None:
-        """Clients were held past the route's timeout, until they left."""
+        """Clients were held past the route's timeout, until they left.
+
+        Informational responses set the count of bytes back, so that they
+        were parsed until the timeout, and little else was read.
+        """
         await self.publish_all(TIMEOUT_MS)
         for number, answer in enumerate(ANSWERS):
             with self.subTest(answer=answer.name):
@@ -79,6 +96,7 @@
                     upstream.script = [answer.start, b"ENDLESS"]
                     upstream.endless_piece = answer.piece
                     upstream.endless_pause_s = answer.pause_s
+                    upstream.most_taken = 0
                 started = [len(u.ran) for u in self.upstreams]
                 closed = [u.closed_by_caller for u in self.upstreams]
                 started_at = time.monotonic()
@@ -87,6 +105,11 @@
                 self.assertIn(status, (0, 502, 504))
                 self.assertLess(took_ms, TIMEOUT_MS + SLACK_MS)
                 await self._wait_until_closed(started, closed)
+                if answer.is_no_answer:
+                    taken = max(u.most_taken for u in self.upstreams)
+                    self.assertLess(
+                        taken, MAX_NO_ANSWER_BYTES, "no answer, not closed"
+                    )
 
     async def test_slow_download_within_the_timeout_is_not_cut(self) -> None:
         await self.publish_all(TIMEOUT_MS)
--- a/wigeongw/gateway/host_case.py
+++ b/wigeongw/gateway/host_case.py
@@ -7,6 +7,7 @@
 import os
 import random
 import select
+import socket
 import unittest
 
 import aiohttp
@@ -32,6 +33,7 @@
 NAMES = NativeDialect.names
 SIGNATURE_HEADER = f"{NAMES.signature}: proof"
 TIMEOUT_S = 10.0
+SMALL_SEND_BUFFER_BYTES = 16 << 10
 CLOCK = Clock()
 ROUTE_KINDS = {
     "read": RouteKind.IDEMPOTENT,
@@ -92,6 +94,8 @@
         cold_ms: remaining warm-up that it reports.
         silent: whether it accepts connections but does not respond.
         closed_by_caller: number of endless answers that the caller ended.
+        most_taken: most bytes that the caller took of one of them; what the
+            system takes ahead of it is little.
     """
 
     def __init__(self, identity: str) -> None:
@@ -105,6 +109,7 @@
         self.cold_ms = 0
         self.silent = False
         self.closed_by_caller = 0
+        self.most_taken = 0
         self.server = ScriptedUpstream(self._answer)
 
     def target(self, zone: str = "amman", service: str = "s") -> Target:
@@ -157,10 +162,16 @@
         return [f"{NAMES.rate_limit}: {value}" for value in self.rate_limits]
 
     async def _write_until_closed(self, writer: asyncio.StreamWriter) -> None:
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_SEND_BUFFER_BYTES
+        )
+        taken = 0
         with contextlib.suppress(ConnectionError):
             while not _is_closed_by_peer(writer):
                 writer.write(self.endless_piece)
                 await writer.drain()
+                taken += len(self.endless_piece)
+                self.most_taken = max(self.most_taken, taken)
                 await asyncio.sleep(self.endless_pause_s)
         self.closed_by_caller += 1
 
