What an upstream says of itself outlasts its entry

What callers saw: an upstream that had said that it leaves was sent requests again, one that had asked for a pause too early, one with a rate limit without a permit, if its entry was gone for a moment and came back, as after a return of the store from a copy.

Cause: pause and rate limit were parts of the state that is built from an entry and gone with it. The leaving word was also kept by start, but only read when that state was built: an answer to a request that had been sent before marked the old state and no longer the new one. The list of 2,000 counted upstreams of the view too, so that departures displaced words in use.

Change: gateway/own_word.py keeps one record a start, apart from the view. The state of an entry refers to it, also the state that a request in progress still has; records of upstreams that are gone are kept up to 2,000.

Evidence: own_word_test plays orders of events (hypothesis) and compares with what was said; before the change it found all three in one run (leaving, pause, rate limit), and its four tests of single orders failed.

--- a/wigeongw/gateway/availability_reader.py
+++ b/wigeongw/gateway/availability_reader.py
@@ -102,7 +102,8 @@
         spread_ms = min(MAX_PAUSE_SPREAD_MS, PAUSE_SPREAD_SHARE * pause_ms)
         held_until = clock.now() + pause_ms
         held_until += spread_ms * self.state.rng.random()
-        target.held_until = max(target.held_until, held_until)
+        word = target.own_word
+        word.held_until = max(word.held_until, held_until)
         self.state.metrics.count("upstream_pauses_total")
         self.state.log.add(
             "upstream",
--- a/wigeongw/gateway/rate_limit_reader.py
+++ b/wigeongw/gateway/rate_limit_reader.py
@@ -54,7 +54,8 @@
         before = target.limit_per_s
         if per_s is None and not self._may_end(target, response_kind, sent_at):
             return
-        target.rate_limit = RateLimit(per_s, self.state.clock.now())
+        now = self.state.clock.now()
+        target.own_word.rate_limit = RateLimit(per_s, now)
         if per_s != before:
             self._log_change(target, before, per_s, response_kind, request_id)
 
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -35,15 +35,13 @@
 from wigeongw.gateway.decision_log import DecisionLog
 from wigeongw.gateway.grantor_directory import GrantorDirectory
 from wigeongw.gateway.limit_shares import LimitShares
+from wigeongw.gateway.own_word import NEVER
+from wigeongw.gateway.own_word import OwnWords
+from wigeongw.gateway.own_word import UpstreamStart
 from wigeongw.gateway.rollout_traffic import RolloutTraffic
-from wigeongw.gateway.target_state import NEVER
 from wigeongw.gateway.target_state import TargetState
 from wigeongw.ports.catalog import UNKNOWN_ERA
 
-# Identity, address and time of birth.
-UpstreamStart = tuple[str, str, float]
-# Upstreams that left are remembered up to this number.
-MAX_LEAVING = 2_000
 # Older samples do not count for the utilization of a service.
 MAX_UTILIZATION_SAMPLE_AGE_MS = 1_000.0
 
@@ -79,8 +77,8 @@
         relay_plan: who asks whom for changes, by the hosts of the view.
         store_era: the highest era of the store that this host knows.
         rollouts: which version of a service requests go to.
-        leaving: starts of upstreams that said that they leave, oldest first;
-            kept apart from the view, which may lose and regain their entries.
+        own_words: what upstreams say of themselves; kept apart from the view,
+            which may lose and regain their entries.
         store_returned: set, and then replaced, when the store answers again
             and when the view is of a new era of the store.
     """
@@ -122,7 +120,7 @@
         self.store_era = UNKNOWN_ERA
         self.relay_plan = relay_selection.make_plan(())
         self.store_returned = asyncio.Event()
-        self.leaving: dict[UpstreamStart, None] = {}
+        self.own_words = OwnWords()
         self.rollouts = RolloutTraffic(clock, rng)
 
     @property
@@ -292,10 +290,7 @@
         """
         if state.is_leaving:
             return False
-        state.is_leaving = True
-        self.leaving[_start_of(state.target)] = None
-        while len(self.leaving) > MAX_LEAVING:
-            del self.leaving[next(iter(self.leaving))]
+        state.own_word.is_leaving = True
         return True
 
     def pause_ms(self, service: str) -> float | None:
@@ -385,7 +380,7 @@
     def learn_rate_limit(self, target: TargetState, limit: RateLimit) -> None:
         """Apply what another host knows about the limit of an upstream."""
         before = target.limit_per_s
-        target.learn_rate_limit(limit)
+        target.own_word.learn_rate_limit(limit)
         if target.limit_per_s == before:
             return
         self.log.add(
@@ -476,10 +471,14 @@
         for identity, state in list(self.targets.items()):
             if identity not in self.view.targets:
                 del self.targets[identity]
+                self.own_words.leave(state.target)
                 removed.append(state.target)
         for identity, target in self.view.targets.items():
             known = self.targets.get(identity)
-            if known is None or _is_other_start(known.target, target):
+            if known is None:
+                self.targets[identity] = self._new_target_state(target)
+            elif _is_other_start(known.target, target):
+                self.own_words.leave(known.target)
                 self.targets[identity] = self._new_target_state(target)
             else:
                 known.target = target
@@ -521,15 +520,10 @@
             self.shares.new_probe_bucket(target),
             self.shares.new_cold_bucket(target),
             cold_until=self.clock.now() + target.cold_left_ms,
-            is_leaving=_start_of(target) in self.leaving,
+            own_word=self.own_words.enter(target),
         )
 
 
-def _start_of(target: Target) -> UpstreamStart:
-    """Return what tells one start of an upstream from another."""
-    return target.identity, target.address, target.born_ms
-
-
 def _is_other_start(known: Target, found: Target) -> bool:
     """Return whether an upstream was restarted since it was last seen."""
-    return known.address != found.address or known.born_ms != found.born_ms
+    return UpstreamStart.of(known) != UpstreamStart.of(found)
--- a/wigeongw/gateway/target_state.py
+++ b/wigeongw/gateway/target_state.py
@@ -9,8 +9,8 @@
 from wigeongw.core.site import Target
 from wigeongw.decisions.estimates import FailureRate
 from wigeongw.decisions.host_limits import TokenBucket
+from wigeongw.gateway.own_word import OwnWord
 
-NEVER = float("-inf")
 # Backoff after an upstream could not be reached, doubled with each further
 # failure.
 MIN_BACKOFF_MS = 150.0
@@ -61,13 +61,9 @@
             another host reported.
         misdirected: its address now belongs to another upstream.
         in_subset: it belongs to the upstreams that this host prefers.
-        rate_limit: the request rate that it accepts; None if it has never
-            named a limit.
+        own_word: what it said of itself; outlasts this state.
         denied_until: by grantor, the time until which it is not asked for a
             request to this upstream.
-        is_leaving: whether it said that it leaves; only another start of it
-            gets requests again.
-        held_until: end of the pause that it asked this host for.
         flights: this host's requests that it has.
     """
 
@@ -90,10 +86,8 @@
     peer_reported_silent_at: float = float("-inf")
     misdirected: bool = False
     in_subset: bool = True
-    rate_limit: RateLimit | None = None
+    own_word: OwnWord = field(default_factory=OwnWord)
     denied_until: dict[str, float] = field(default_factory=dict)
-    is_leaving: bool = False
-    held_until: float = NEVER
     flights: set["Flight"] = field(default_factory=set)
 
     def begin_flight(self) -> "Flight":
@@ -125,16 +119,26 @@
         age_ms = now - self.peer_reported_silent_at
         return age_ms < PEER_REPORT_TTL_MS * REPORT_AGAIN_SHARE
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it said that it leaves; only a later start is used again."""
+        return self.own_word.is_leaving
+
+    @property
+    def held_until(self) -> float:
+        """End of the pause that it asked this host for."""
+        return self.own_word.held_until
+
+    @property
+    def rate_limit(self) -> RateLimit | None:
+        """The latest that it said of a rate limit; None for nothing yet."""
+        return self.own_word.rate_limit
+
     @property
     def limit_per_s(self) -> float | None:
         """The rate limit in force; None when it names none."""
         return self.rate_limit.per_s if self.rate_limit is not None else None
 
-    def learn_rate_limit(self, limit: RateLimit) -> None:
-        """Store what the upstream said about its limit, if that is newer."""
-        if self.rate_limit is None or limit.at_ms > self.rate_limit.at_ms:
-            self.rate_limit = limit
-
     def update_sample(self, sample: LoadSample) -> None:
         """Store a load sample, unless the current one is newer."""
         latest = self.sample
