A later start of an upstream gets no request on a connection to an earlier one

What callers saw: nothing yet; on the users' platform no two starts share an identity. Where they do, requests went to the address of the earlier start, and what that one says of itself (that it leaves) was taken for the later one's word.

Cause: idle connections were kept by identity alone and closed only when an entry was removed, not when another start took its place. A request in progress meanwhile gave its connection back afterwards, too.

Change: connections are kept by identity and address, and those to a replaced start are closed.

Evidence: found by a test of the leaving word whose second start got the first one's answers. upstream_pool_test failed before (has_idle named the connection of the other address), passes now.

--- a/wigeongw/adapters/upstream_pool.py
+++ b/wigeongw/adapters/upstream_pool.py
@@ -27,7 +27,8 @@
         most: how many connections may be open.
         resources: where it is counted what the connections hold, if anywhere.
         open: the connections that are open.
-        idle: idle connections by the upstream's identity, last used last.
+        idle: idle connections by the upstream's identity and address, last
+            used last.
     """
 
     def __init__(
@@ -44,7 +45,7 @@
         self.request_id_header = request_id_header
         self.most = most
         self.open: set[UpstreamConnection] = set()
-        self.idle: dict[str, list[UpstreamConnection]] = {}
+        self.idle: dict[tuple[str, str], list[UpstreamConnection]] = {}
 
     async def acquire(self, target: Target) -> UpstreamConnection:
         """Return an idle connection to an upstream, or open a new one.
@@ -52,7 +53,7 @@
         Raises:
             ExchangeError: if no connection can be opened; nothing was sent.
         """
-        idle = self.idle.get(target.identity, [])
+        idle = self.idle.get(_key(target), [])
         now = self.clock.now()
         while idle:
             connection = idle.pop()
@@ -80,15 +81,15 @@
             return
         connection.idle_since = self.clock.now()
         connection.reply = None
-        self.idle.setdefault(target.identity, []).append(connection)
+        self.idle.setdefault(_key(target), []).append(connection)
 
-    def has_idle(self, identity: str) -> bool:
+    def has_idle(self, target: Target) -> bool:
         """Return whether a connection to an upstream may be reused."""
-        return any(conn.is_open for conn in self.idle.get(identity, ()))
+        return any(conn.is_open for conn in self.idle.get(_key(target), ()))
 
-    def close_idle(self, identity: str) -> None:
+    def close_idle(self, target: Target) -> None:
         """Close the idle connections to a removed upstream."""
-        for connection in self.idle.pop(identity, []):
+        for connection in self.idle.pop(_key(target), []):
             connection.close()
 
     async def run(self) -> None:
@@ -99,12 +100,14 @@
 
     def close(self) -> None:
         """Close all idle connections."""
-        for identity in list(self.idle):
-            self.close_idle(identity)
+        for idle in self.idle.values():
+            for connection in idle:
+                connection.close()
+        self.idle = {}
 
     def _close_expired(self) -> None:
         now = self.clock.now()
-        for identity, idle in list(self.idle.items()):
+        for key, idle in list(self.idle.items()):
             remaining = []
             for connection in idle:
                 is_expired = (
@@ -115,9 +118,9 @@
                 else:
                     remaining.append(connection)
             if remaining:
-                self.idle[identity] = remaining
+                self.idle[key] = remaining
             else:
-                del self.idle[identity]
+                del self.idle[key]
 
     def _make_room(self) -> None:
         """Close idle connections, idle longest first, if too many are open.
@@ -174,3 +177,8 @@
             sock.close()
             raise
         return connection
+
+
+def _key(target: Target) -> tuple[str, str]:
+    """Return what an upstream's idle connections are kept by."""
+    return target.identity, target.address
--- a/wigeongw/gateway/follower.py
+++ b/wigeongw/gateway/follower.py
@@ -314,7 +314,7 @@
 
     def _install_view(self, view: SiteView) -> None:
         for target in self.state.apply_view(view):
-            self.pool.close_idle(target.identity)
+            self.pool.close_idle(target)
 
 
 def _change_key(change: object) -> object:
--- a/wigeongw/gateway/prober.py
+++ b/wigeongw/gateway/prober.py
@@ -88,7 +88,7 @@
     async def _probe(self, target: TargetState) -> None:
         identity = target.target.identity
         started_at = self.state.clock.now()
-        reuses_connection = self.pool.has_idle(identity)
+        reuses_connection = self.pool.has_idle(target.target)
         try:
             async with asyncio.timeout(seconds(PROBE_TIMEOUT_MS)):
                 await self._send_probe(target)
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -137,7 +137,7 @@
         """Replace the view and update the state that depends on it.
 
         Returns:
-            The upstreams that were removed.
+            The upstreams that were removed, or replaced by a later start.
         """
         old = self.view
         self.view = view
@@ -479,6 +479,7 @@
                 self.targets[identity] = self._new_target_state(target)
             elif _is_other_start(known.target, target):
                 self.own_words.leave(known.target)
+                removed.append(known.target)
                 self.targets[identity] = self._new_target_state(target)
             else:
                 known.target = target
