What an upstream says of itself counts from the head of its answer

What callers saw: an upstream whose answer said that it leaves got further requests as long as that answer was not complete, and for good if it never was: its body broke off or stopped, its request was hedged and the other answer won, or the client had left.

Cause: the headers were read once the exchange had delivered its answer, which is after the body, or after its first MiB. What an exchange had brought when it failed or was cancelled was dropped.

Change: the connection passes the head of an answer on when it has come, to requests and to probes; the readers of the leaving word, the pause and the rate limit are called from there and no longer for the whole answer.

Evidence: own_word_heard_test plays 14 ways in which an upstream can say so, and a client that leaves.

--- a/wigeongw/adapters/upstream_connection.py
+++ b/wigeongw/adapters/upstream_connection.py
@@ -42,12 +42,18 @@
 TCP_USER_TIMEOUT_MS = 3_000
 
 NoteHeld = Callable[["UpstreamConnection", int], None]
+# Called with a response as soon as its head has come.
+OnHead = Callable[[BufferedReply], None]
 
 
 def _ignore(connection: "UpstreamConnection", size: int) -> None:
     """Count nothing."""
 
 
+def _ignore_head(reply: BufferedReply) -> None:
+    """Wait for the response."""
+
+
 class UpstreamConnection(asyncio.Protocol):
     """A client connection to one upstream.
 
@@ -93,6 +99,7 @@
         self.waiter: asyncio.Future[BufferedReply] | None = None
         self.request_id = ""
         self.head_only = False
+        self.on_head: OnHead = _ignore_head
         self.sent = False
         self.is_reusable = True
         self.is_kept = False
@@ -200,6 +207,7 @@
         # holds, until the next garbage collection.
         self.feed.end()
         self.parser = None  # type: ignore[assignment]
+        self.on_head = _ignore_head
         self.reply = None
         self.body = bytearray()
         self.note_held(self, 0)
@@ -237,6 +245,7 @@
         body: bytes | bytearray,
         request_id: str,
         head_only: bool,
+        on_head: OnHead = _ignore_head,
     ) -> BufferedReply:
         """Send a request and wait for its response.
 
@@ -246,6 +255,8 @@
             request_id: a response that echoes another ID is skipped; empty
                 to accept any response.
             head_only: whether the response to this method has no body.
+            on_head: called with the response when its head has come, whatever
+                becomes of its body.
 
         Raises:
             ExchangeError: if no response arrived; tells whether any byte of
@@ -255,6 +266,7 @@
             raise ExchangeError("connection is closed", False)
         self.request_id = request_id
         self.head_only = head_only
+        self.on_head = on_head
         self.is_kept = self.exchange_count > 0
         self.exchange_count += 1
         self.foreign_responses = 0
@@ -277,6 +289,7 @@
             raise
         finally:
             self.waiter = None
+            self.on_head = _ignore_head
 
     def close(self) -> None:
         """Close, upon which the upstream cancels the connection's request."""
@@ -338,6 +351,7 @@
             fields=fields,
             answers_request=is_echo or not self.is_kept,
         )
+        self.on_head(self.reply)
         if self.head_only or status in BODILESS_STATUSES:
             self.is_reusable = self.is_reusable and not self.head_only
             self._complete_response()
--- a/wigeongw/gateway/prober.py
+++ b/wigeongw/gateway/prober.py
@@ -2,8 +2,10 @@
 
 import asyncio
 from collections.abc import Iterable
+from functools import partial
 
 from wigeongw.adapters.upstream_pool import UpstreamPool
+from wigeongw.adapters.upstream_reply import BufferedReply
 from wigeongw.adapters.upstream_reply import ExchangeError
 from wigeongw.core.clock import seconds
 from wigeongw.decisions import placement as placements
@@ -108,18 +110,13 @@
         finally:
             self.in_flight.pop(identity, None)
 
-    async def _send_probe(self, target: TargetState) -> None:
-        service = self.state.service(target.target.service)
-        path = service.health_path if service else "/"
-        head = (
-            f"GET {path} HTTP/1.1\r\nHost: {target.target.address}\r\n\r\n"
-        ).encode("latin-1")
-        self.state.metrics.count("probes_total")
-        connection = await self.pool.acquire(target.target)
-        sent_at = self.state.clock.now()
-        reply = await connection.exchange(head, b"", "", False)
-        self.pool.release(target.target, connection)
-        now = self.state.clock.now()
+    def _hear(
+        self, target: TargetState, sent_at: float, reply: BufferedReply
+    ) -> None:
+        """Take in what an upstream says of itself in the head of a response.
+
+        That counts even if the rest never comes.
+        """
         instance = reply.fields.get(self.dialect.names.instance)
         if instance is not None and instance != target.target.identity:
             target.misdirected = True
@@ -130,9 +127,26 @@
                 by=instance,
             )
             return
-        target.record_reachable()
         self.limit_reader.read(target, reply, ResponseKind.PROBE, sent_at)
         self.availability_reader.read(target, reply)
+
+    async def _send_probe(self, target: TargetState) -> None:
+        service = self.state.service(target.target.service)
+        path = service.health_path if service else "/"
+        head = (
+            f"GET {path} HTTP/1.1\r\nHost: {target.target.address}\r\n\r\n"
+        ).encode("latin-1")
+        self.state.metrics.count("probes_total")
+        connection = await self.pool.acquire(target.target)
+        sent_at = self.state.clock.now()
+        reply = await connection.exchange(
+            head, b"", "", False, partial(self._hear, target, sent_at)
+        )
+        self.pool.release(target.target, connection)
+        if target.misdirected:
+            return
+        now = self.state.clock.now()
+        target.record_reachable()
         healthy = reply.status == HTTP_OK
         sample = self.dialect.load(
             reply.fields, now, healthy, ResponseKind.PROBE
--- a/wigeongw/gateway/upstream_sender.py
+++ b/wigeongw/gateway/upstream_sender.py
@@ -5,12 +5,14 @@
 """
 
 from dataclasses import dataclass
+from functools import partial
 
 from wigeongw.adapters.upstream_connection import UpstreamConnection
 from wigeongw.adapters.upstream_pool import UpstreamPool
 from wigeongw.adapters.upstream_reply import BufferedReply
 from wigeongw.adapters.upstream_reply import ExchangeError
 from wigeongw.core.records import Outcome
+from wigeongw.core.site import Target
 from wigeongw.decisions import rollout
 from wigeongw.decisions.placement import Placement
 from wigeongw.gateway.availability_reader import AvailabilityReader
@@ -114,6 +116,7 @@
                 request.body,
                 request.request_id,
                 request.method == "HEAD",
+                partial(self._hear, state, request, sent_at),
             )
         except ExchangeError as error:
             if error.sent and error.is_broken:
@@ -128,7 +131,7 @@
             state.flights.discard(flight)
         elapsed_ms = self.state.clock.now() - sent_at
         attempt = self._classify_response(
-            request, placement, state, reply, connection, sent_at
+            request, placement, state, reply, connection
         )
         if attempt.outcome is not Outcome.NOT_RUN:
             failed = attempt.reply is None or reply.status >= HTTP_SERVER_ERROR
@@ -166,6 +169,41 @@
         outcome = Outcome.UNKNOWN if error.sent else Outcome.NOT_RUN
         return Attempt(placement, None, outcome, error.sent, error.reason)
 
+    def _hear(
+        self,
+        state: TargetState,
+        request: Request,
+        sent_at: float,
+        reply: BufferedReply,
+    ) -> None:
+        """Take in what an upstream says of itself in the head of a response.
+
+        That counts even if the rest never comes or nobody waits for it.
+        """
+        if self._is_misdirected(state.target, reply):
+            state.misdirected = True
+            return
+        self.limit_reader.read(
+            state,
+            reply,
+            self._response_kind(reply),
+            sent_at,
+            request.request_id,
+        )
+        self.availability_reader.read(state, reply, request.request_id)
+
+    def _is_misdirected(self, target: Target, reply: BufferedReply) -> bool:
+        """Return whether another upstream has the address now."""
+        instance = reply.fields.get(self.dialect.names.instance)
+        return reply.status == HTTP_MISDIRECTED and (
+            instance is not None and instance != target.identity
+        )
+
+    def _response_kind(self, reply: BufferedReply) -> ResponseKind:
+        if self.dialect.names.not_run in reply.fields:
+            return ResponseKind.REJECTED
+        return ResponseKind.REQUEST
+
     def _classify_response(
         self,
         request: Request,
@@ -173,7 +211,6 @@
         state: TargetState,
         reply: BufferedReply,
         connection: UpstreamConnection,
-        sent_at: float,
     ) -> Attempt:
         """Record the load in a response and check whether it is usable.
 
@@ -182,29 +219,15 @@
                 rejected the request or the response is not usable.
         """
         now = self.state.clock.now()
-        names = self.dialect.names
         if reply.rest is None:
             self.pool.release(placement.target, connection)
         state.record_reachable()
-        rejected = names.not_run in reply.fields
-        response_kind = (
-            ResponseKind.REJECTED if rejected else ResponseKind.REQUEST
-        )
-        sample = self.dialect.load(reply.fields, now, True, response_kind)
+        kind = self._response_kind(reply)
+        sample = self.dialect.load(reply.fields, now, True, kind)
         if sample is not None:
             state.update_sample(sample)
             self.observations.report_response(state)
-        instance = reply.fields.get(names.instance)
-        misdirected = reply.status == HTTP_MISDIRECTED and (
-            instance is not None and instance != placement.target.identity
-        )
-        if misdirected:
-            state.misdirected = True
-        else:
-            self.limit_reader.read(
-                state, reply, response_kind, sent_at, request.request_id
-            )
-            self.availability_reader.read(state, reply, request.request_id)
+        rejected = kind is ResponseKind.REJECTED
         if rejected or reply.status in NOT_RUN_STATUSES:
             state.record_outcome(True, now)
             if reply.rest is not None:
