Connections that the HTTP library reads take no bytes without end

What callers saw: nothing yet on the users' sites. An upstream of wigeongw serve that sent answers or informational responses behind a complete answer filled the host: 38 to 344 MB in 2 s, with turns of the loop of 264 ms, for up to the 15 s that the connection stays idle. In place of an answer, informational responses, blank lines and chunk extensions were parsed until the request's deadline.

Change: adapters/guarded_session.py puts a guard before the library's protocol on each connection. It has the account of a message (512 KiB beside the body, as a body counts only from the next turn on), and closes an idle connection for any byte. A body whose trailers cannot be read fails at once instead of at the deadline. All sessions of both kinds of host are guarded.

--- a/wigeongw/adapters/http_upstream_client.py
+++ b/wigeongw/adapters/http_upstream_client.py
@@ -14,6 +14,8 @@
 from multidict import CIMultiDict
 
 from wigeongw.adapters import receive_window
+from wigeongw.adapters.guarded_session import guarded_session
+from wigeongw.adapters.guarded_session import GuardedConnector
 from wigeongw.adapters.rate_limit_header import RateLimitHeaderError
 from wigeongw.adapters.rate_limit_header import read_rate_limit
 from wigeongw.core.clock import Clock
@@ -73,17 +75,17 @@
             is sent, which leaves the outcome of the request unknown.
     """
     if reuse_connections:
-        connector = aiohttp.TCPConnector(
+        connector = GuardedConnector(
             limit=0,
             keepalive_timeout=seconds(KEEP_ALIVE_TIMEOUT_MS),
             socket_factory=_narrow_socket,
         )
     else:
-        connector = aiohttp.TCPConnector(
+        connector = GuardedConnector(
             limit=0, force_close=True, socket_factory=_narrow_socket
         )
-    session = aiohttp.ClientSession(
-        connector=connector,
+    session = guarded_session(
+        connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None),
--- a/wigeongw/commands/platform.py
+++ b/wigeongw/commands/platform.py
@@ -4,10 +4,10 @@
 from contextlib import asynccontextmanager
 from typing import Annotated
 
-import aiohttp
 import typer
 
 from wigeongw.adapters.etcd_store import EtcdStore
+from wigeongw.adapters.guarded_session import guarded_session
 from wigeongw.adapters.host_list import HttpHostList
 from wigeongw.daemon.entry_host import Platform
 
@@ -40,7 +40,7 @@
         store: base URL of the store.
         host_list: URL of the host list; may be any URL when it is not read.
     """
-    async with aiohttp.ClientSession() as session:
+    async with guarded_session() as session:
         yield Platform(
             EtcdStore(session, store), HttpHostList(session, host_list)
         )
--- a/wigeongw/commands/serve.py
+++ b/wigeongw/commands/serve.py
@@ -9,11 +9,11 @@
 import sys
 from typing import Annotated
 
-import aiohttp
 import typer
 import uvloop
 
 from wigeongw.adapters.etcd_store import EtcdStore
+from wigeongw.adapters.guarded_session import guarded_session
 from wigeongw.adapters.host_list import HttpHostList
 from wigeongw.commands.exit_codes import BAD_INPUT
 from wigeongw.commands.exit_codes import CANNOT_LISTEN
@@ -67,7 +67,7 @@
         stack.enter_context(
             decision_log.decision_handler(record_stream).applicationbound()
         )
-        session = await stack.enter_async_context(aiohttp.ClientSession())
+        session = await stack.enter_async_context(guarded_session())
         platform = Platform(
             EtcdStore(session, settings.store),
             HttpHostList(session, settings.host_list),
