The log tells what an upstream sent in place of an answer, and late turns

Today a counter names the reason and no upstream.

Change: each attempt that brings no answer has a line with the upstream, the cause and the bytes that came. The event loop's delay has a histogram and, from 100 ms on, a line. wigeongw record shows what the upstreams that a request was sent to had said of themselves.

--- a/wigeongw/commands/record_context.py
+++ b/wigeongw/commands/record_context.py
@@ -29,11 +29,14 @@
             line always replaces an earlier one.
         lasts_ms: for how long it may explain what follows.
         needs: field without which a line is not of this kind; empty for none.
+        is_of_upstream: whether it is context only of requests that were sent
+            to the upstream that it names.
     """
 
     same_by: str = ""
     lasts_ms: float = PAST_FAULT_MS
     needs: str = ""
+    is_of_upstream: bool = False
 
 
 # By prefix and event.
@@ -44,6 +47,11 @@
     ("store", "lost"): ContextKind(),
     ("store", "regained"): ContextKind(),
     ("host", "task_failed"): ContextKind("task"),
+    ("host", "loop_late"): ContextKind(lasts_ms=5.0 * MS_PER_S),
+    ("upstream", "leaving"): ContextKind("to", is_of_upstream=True),
+    ("upstream", "pauses"): ContextKind("to", is_of_upstream=True),
+    ("limit", "named"): ContextKind("to", FOREVER_MS, is_of_upstream=True),
+    ("limit", "changed"): ContextKind("to", FOREVER_MS, is_of_upstream=True),
 }
 
 
@@ -96,18 +104,26 @@
 
     Returns:
         Of each host with a decision, the last line of each kind before the
-        first decision, unless it is too old to explain it.
+        first decision, unless it is too old to explain it. What an upstream
+        says of itself may also come while a request is there.
     """
     first_at: dict[str, float] = {}
+    last_at: dict[tuple[str, str], float] = {}
     for decision in decisions:
         earliest = first_at.get(decision.host, float("inf"))
         first_at[decision.host] = min(earliest, decision.at_ms)
+        sent_to = decision.host, decision.fields.get("to", "")
+        last_at[sent_to] = max(last_at.get(sent_to, 0.0), decision.at_ms)
     last: dict[tuple[str, str, str, str], LogLine] = {}
     for line in sorted(lines, key=lambda found: found.at_ms):
         kind = _kind(line)
         if kind is None:
             continue
-        age_ms = first_at.get(line.host, float("-inf")) - line.at_ms
+        explained_at = first_at.get(line.host, float("-inf"))
+        if kind.is_of_upstream:
+            sent_to = line.host, line.fields.get("to", "")
+            explained_at = last_at.get(sent_to, float("-inf"))
+        age_ms = explained_at - line.at_ms
         if 0.0 <= age_ms <= kind.lasts_ms:
             what = line.fields.get(kind.same_by, "")
             event = line.fields["event"]
--- a/wigeongw/gateway/finding_record_test.py
+++ b/wigeongw/gateway/finding_record_test.py
@@ -14,10 +14,12 @@
 import aiohttp
 from typer.testing import CliRunner
 
+from standins.scripted_upstream import response_bytes
 from wigeongw.commands import main
 from wigeongw.commands.record_context import LogLine
 from wigeongw.commands.record_context import read_line
 from wigeongw.gateway.host_case import HostCase
+from wigeongw.gateway.host_case import NAMES
 from wigeongw.gateway.host_case import SIGNATURE_HEADER
 from wigeongw.ports.catalog import TargetGone
 
@@ -92,6 +94,58 @@
         pattern = f"store: .*event={event} "
         return any(re.search(pattern, f"{line} ") for line in lines)
 
+    async def test_upstream_that_sent_no_answer_is_not_named(self) -> None:
+        """The request was answered by another one, and nothing else told."""
+        for upstream in self.upstreams:
+            upstream.script = [b"ENDLESS"]
+            upstream.endless_piece = b"HTTP/1.1 103 Hints\r\n\r\n" * 500
+        await self.send("/read/x", request_id="endless")
+        failed = [
+            line.fields
+            for line in self.lines_of("endless")
+            if line.fields.get("event") == "failed"
+        ]
+        self.assertEqual({f["to"] for f in failed}, {"one", "two"})
+        for fields in failed:
+            self.assertEqual(
+                fields["cause"], "not_an_answer:_bytes_without_end"
+            )
+            self.assertGreater(int(fields["received"]), 60_000)
+            self.assertEqual(fields["body"], "0")
+
+    async def test_attempt_that_nobody_awaits_has_no_line(self) -> None:
+        """A timeout did not tell what its upstream had sent until then."""
+        for upstream in self.upstreams:
+            upstream.script = [HEAD, b"HANG"]
+        status, _, _ = await self.send("/write/x", "POST", "slow")
+        self.assertEqual(status, 504)
+        await self.until(lambda: len(self.lines_of("slow")) > 2)
+        fields = [
+            line.fields
+            for line in self.lines_of("slow")
+            if line.fields.get("event") == "failed"
+        ]
+        self.assertEqual([f["cause"] for f in fields], ["not_awaited"])
+        self.assertEqual(int(fields[0]["received"]), len(HEAD))
+
+    async def test_since_when_an_upstream_leaves_is_not_shown(self) -> None:
+        """A request's lines named its upstream, not what that had said."""
+        lines = (SIGNATURE_HEADER, f"{NAMES.leaving}: 1")
+        answer = response_bytes(200, b"done", *lines)
+        self.upstreams[0].script = [b"PAUSE", b"PAUSE", answer]
+        self.upstreams[1].script = [b"PAUSE", b"PAUSE", b"DONE"]
+        await asyncio.gather(
+            *(self.send("/read/x", request_id=f"at-{n}") for n in range(6))
+        )
+        shown = 0
+        for number in range(6):
+            found = self.lines_of(f"at-{number}")
+            sent_to = {ln.fields.get("to") for ln in found}
+            events = [ln.fields.get("event") for ln in found]
+            self.assertEqual("leaving" in events, "one" in sent_to)
+            shown += "leaving" in events
+        self.assertGreater(shown, 0)
+
     async def test_refused_upload_names_no_cause(self) -> None:
         state = self.host.state
         state.host_config = replace(
--- a/wigeongw/gateway/host.py
+++ b/wigeongw/gateway/host.py
@@ -18,6 +18,8 @@
 from wigeongw.core.clock import Clock
 from wigeongw.core.clock import seconds
 from wigeongw.core.log_throttle import LogThrottle
+from wigeongw.core.loop_watch import LATE_MS
+from wigeongw.core.loop_watch import watch_loop
 from wigeongw.core.metrics import Metrics
 from wigeongw.core.restart_backoff import RepeatedFailure
 from wigeongw.core.site import HostConfig
@@ -255,8 +257,18 @@
             self.host_checker.run,
             self.crash_watch.run,
             self.rollout_manager.run,
+            self._watch_loop,
         ]
 
+    async def _watch_loop(self) -> None:
+        await watch_loop(self.clock, self._on_loop_turn)
+
+    def _on_loop_turn(self, late_ms: float) -> None:
+        """Record how late the event loop is."""
+        self.state.metrics.time(late_ms, "loop_late_ms")
+        if late_ms >= LATE_MS:
+            self.log.add("host", event="loop_late", late_ms=late_ms)
+
     def _start_task(
         self, stack: AsyncExitStack, function: TaskFunction
     ) -> None:
--- a/wigeongw/gateway/upstream_sender.py
+++ b/wigeongw/gateway/upstream_sender.py
@@ -4,6 +4,7 @@
 retried and what the client is told.
 """
 
+import asyncio
 from dataclasses import dataclass
 from functools import partial
 
@@ -36,6 +37,9 @@
 UPSTREAM_MARGIN_MS = 2.0
 # Reason of an attempt that the rate limit of the upstream did not allow.
 RATE_LIMITED = "rate_limited"
+# Cause of an attempt that ended without its upstream: the request's time was
+# over, another attempt brought the answer, or the client left.
+NOT_AWAITED = "not_awaited"
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +105,7 @@
         flight = state.begin_flight()
         self.observations.report_send(state)
         slowdown = state.sample.slowdown if state.sample else 1.0
+        connection: UpstreamConnection | None = None
         try:
             connection = await self.pool.acquire(placement.target)
             if not self.state.is_usable(state):
@@ -125,13 +130,20 @@
                 )
             if error.sent:
                 self._count_version(request, placement, state, True, 0.0)
+            self._log_failed(request, state, error.reason, connection, sent_at)
             return self._failed_attempt(placement, state, error)
+        except asyncio.CancelledError:
+            if connection is not None:
+                self._log_failed(
+                    request, state, NOT_AWAITED, connection, sent_at
+                )
+            raise
         finally:
             state.in_flight_since.remove(sent_at)
             state.flights.discard(flight)
         elapsed_ms = self.state.clock.now() - sent_at
         attempt = self._classify_response(
-            request, placement, state, reply, connection
+            request, placement, state, reply, connection, sent_at
         )
         if attempt.outcome is not Outcome.NOT_RUN:
             failed = attempt.reply is None or reply.status >= HTTP_SERVER_ERROR
@@ -211,6 +223,7 @@
         state: TargetState,
         reply: BufferedReply,
         connection: UpstreamConnection,
+        sent_at: float,
     ) -> Attempt:
         """Record the load in a response and check whether it is usable.
 
@@ -239,6 +252,7 @@
             bool(defect) or reply.status >= HTTP_SERVER_ERROR, now
         )
         if defect:
+            self._log_failed(request, state, defect, connection, sent_at)
             connection.close()
             return Attempt(placement, None, Outcome.UNKNOWN, True, defect)
         self.crash_watch.record_answer(request)
@@ -246,6 +260,30 @@
             placement, reply, Outcome.RAN, True, "answered", connection
         )
 
+    def _log_failed(
+        self,
+        request: Request,
+        state: TargetState,
+        cause: str,
+        connection: UpstreamConnection | None,
+        sent_at: float,
+    ) -> None:
+        """Log what came of an attempt that brought no answer.
+
+        The request may still be answered by another attempt.
+        """
+        account = connection.account if connection is not None else None
+        self.state.log.add(
+            "upstream",
+            id=request.request_id,
+            to=state.target.identity,
+            event="failed",
+            cause=cause,
+            received=account.received if account is not None else None,
+            body=account.body if account is not None else None,
+            took_ms=self.state.clock.now() - sent_at,
+        )
+
     def _rejection_outcome(self, reply: BufferedReply) -> Outcome:
         """Return what is known of a request whose response rejects it.
 
