serve: the leaving word of an upstream outlasts its entry, and ends

What callers saw: an upstream of wigeongw serve that had said that it leaves got requests again once the host list had lacked it for one reading. And of two hosts or more, none used an upstream again that had restarted under its name while the list showed it all the time: hosts repeated in their heartbeats what they had from each other, so that the 60 s of a report never ended.

Cause: a report had no owner. The list dropped those of upstreams that it did not show, also what this host had heard itself, and each host told all it knew.

Change: a report that the upstream made to this host holds for 60 s after it last said so, whatever the list shows, and ends when a load report of another start answers otherwise. Only such reports are told to others; what others told ends with the entry or after 60 s.

--- a/wigeongw/daemon/dispatcher.py
+++ b/wigeongw/daemon/dispatcher.py
@@ -56,8 +56,8 @@
     """Sends the requests of all services.
 
     Attributes:
-        on_upstream_leaving: called with the name of an upstream whose response
-            says that it is leaving.
+        on_upstream_leaving: called with the name and the start identity of an
+            upstream whose response says that it is leaving.
         on_shortage: called with a service, again and again while a request
             waits for one of its slots.
         retry_budgets: retry budget of each service.
@@ -70,7 +70,7 @@
         clock: Clock,
         decision_log: DecisionLog,
         metrics: Metrics,
-        on_upstream_leaving: Callable[[str], None],
+        on_upstream_leaving: Callable[[str, str], None],
         on_shortage: Callable[[str], object],
     ) -> None:
         self.permit_manager = permit_manager
@@ -240,7 +240,7 @@
             state.limit = reply.limit
             exchange = Exchange(reply, held, release_permit)
             if reply.leaving:
-                self.on_upstream_leaving(held.upstream)
+                self.on_upstream_leaving(held.upstream, reply.start)
             await exchange.buffer_small_body(request, self.clock.now())
             exchange.elapsed_ms = self.clock.now() - started_at
             handed_over = True
@@ -253,7 +253,7 @@
                 state.start = error.start
                 state.limit = error.limit
                 if error.leaving:
-                    self.on_upstream_leaving(held.upstream)
+                    self.on_upstream_leaving(held.upstream, error.start)
             raise
         finally:
             if not handed_over:
--- a/wigeongw/daemon/load_report_poller.py
+++ b/wigeongw/daemon/load_report_poller.py
@@ -103,8 +103,11 @@
                 upstream, max_bytes, timeout_ms
             )
             self.metrics.counters[("measuring_bytes", pool)] += report.size
+            tracker = self.site_tracker
             if report.leaving:
-                self.site_tracker.on_upstream_leaving(upstream.name)
+                tracker.on_upstream_leaving(upstream.name, report.start)
+            else:
+                tracker.on_upstream_serving(upstream.name, report.start)
             self.permit_manager.on_load_report(
                 pool, upstream.name, report.start
             )
--- a/wigeongw/daemon/site_tracker.py
+++ b/wigeongw/daemon/site_tracker.py
@@ -183,7 +183,7 @@
             not was_reachable
             or site.departing_hosts != before.departing_hosts
             or site.fences != before.fences
-            or site.leaving.until.keys() != before.leaving.until.keys()
+            or site.leaving.reports.keys() != before.leaving.reports.keys()
         )
         if affects_permits:
             self._update_site(site)
@@ -283,16 +283,30 @@
         self.send_heartbeat()
         return revision.number
 
-    def on_upstream_leaving(self, upstream: str) -> None:
-        """Handle an upstream that reported that it is leaving."""
-        if upstream in self.site.leaving.until:
-            return
-        leaving = membership.note_leaving(
-            self.site.leaving, (upstream,), self.clock.now()
+    def on_upstream_leaving(self, upstream: str, start: str) -> None:
+        """Handle an upstream that said itself that it is leaving."""
+        is_known = upstream in self.site.leaving.reports
+        leaving = membership.hear_leaving(
+            self.site.leaving, upstream, start, self.clock.now()
         )
-        self._update_site(replace(self.site, leaving=leaving))
+        site = replace(self.site, leaving=leaving)
+        if is_known:
+            self._store_site(site)
+            return
+        log.info("Upstream {} says that it leaves.", upstream)
+        self._update_site(site)
         self.send_heartbeat()
 
+    def on_upstream_serving(self, upstream: str, start: str) -> None:
+        """Handle an answer of an upstream that may have said that it leaves.
+
+        A later start of it is used again.
+        """
+        leaving = membership.hear_serving(self.site.leaving, upstream, start)
+        if leaving is not self.site.leaving:
+            log.info("Upstream {} has started again.", upstream)
+            self._update_site(replace(self.site, leaving=leaving))
+
     def announce_stop(self) -> None:
         """Announce to all entry hosts that this one is leaving."""
         self.is_stopping = True
@@ -334,7 +348,7 @@
                 # Finite even when the store has never replied.
                 min(now - site.store_responded_at, 1e12),
                 own_views,
-                tuple(site.leaving.until),
+                site.leaving.heard_here(),
                 tuple(site.fences.values()),
             )
         )
--- a/wigeongw/decisions/membership.py
+++ b/wigeongw/decisions/membership.py
@@ -2,9 +2,13 @@
 
 The host list of the platform lags behind. An entry host counts as reachable
 while its heartbeats arrive. An upstream counts as leaving as soon as the host
-list, one of its own responses or another entry host reports it. It remains so
-until the host list no longer contains it, or for a fixed time if the host
-list still shows it live.
+list, one of its own responses or another entry host reports it.
+
+What an upstream said to this host itself holds for a fixed time after it last
+said so, whatever the host list shows meanwhile, and ends when a later start of
+it answers otherwise. Only that is told to other hosts: reports that are passed
+on again and again would keep each other alive. What others told holds for a
+fixed time, or until the host list no longer contains the upstream.
 """
 
 from collections.abc import Iterable
@@ -22,22 +26,40 @@
 LEAVING_TTL_MS = 60_000.0
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingReport:
+    """That an upstream leaves.
+
+    Attributes:
+        until: expiry time, monotonic milliseconds.
+        is_own: whether the upstream said so to this host itself.
+        start: identity of the start that said so; empty when unknown.
+    """
+
+    until: float
+    is_own: bool = False
+    start: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class LeavingUpstreams:
     """Upstreams that were reported to be leaving.
 
     Attributes:
-        until: expiry time of the report by upstream name, monotonic
-            milliseconds.
+        reports: the reports by upstream name.
     """
 
-    until: dict[str, float] = field(default_factory=dict)
+    reports: dict[str, LeavingReport] = field(default_factory=dict)
+
+    def heard_here(self) -> tuple[str, ...]:
+        """Return the upstreams that told this host themselves."""
+        return tuple(n for n, report in self.reports.items() if report.is_own)
 
 
 def note_leaving(
     leaving: LeavingUpstreams, names: Iterable[str], now: float
 ) -> LeavingUpstreams:
-    """Record that upstreams are leaving and drop expired reports.
+    """Record what others report, and drop expired reports.
 
     The first report for an upstream determines its expiry time.
 
@@ -46,19 +68,48 @@
         names: names of the upstreams that are leaving.
         now: monotonic clock in milliseconds.
     """
-    until = {n: t for n, t in leaving.until.items() if now < t}
+    reports = {n: r for n, r in leaving.reports.items() if now < r.until}
     for name in names:
-        until.setdefault(name, now + LEAVING_TTL_MS)
-    return LeavingUpstreams(until)
+        reports.setdefault(name, LeavingReport(now + LEAVING_TTL_MS))
+    return LeavingUpstreams(reports)
+
+
+def hear_leaving(
+    leaving: LeavingUpstreams, name: str, start: str, now: float
+) -> LeavingUpstreams:
+    """Record that an upstream said itself that it leaves."""
+    report = LeavingReport(now + LEAVING_TTL_MS, True, start)
+    return LeavingUpstreams({**leaving.reports, name: report})
+
+
+def hear_serving(
+    leaving: LeavingUpstreams, name: str, start: str
+) -> LeavingUpstreams:
+    """Record an answer of an upstream that does not say that it leaves.
+
+    A late answer of the start that leaves changes nothing.
+    """
+    report = leaving.reports.get(name)
+    if report is None or not report.start or report.start == start:
+        return leaving
+    rest = {n: r for n, r in leaving.reports.items() if n != name}
+    return LeavingUpstreams(rest)
 
 
 def forget_unlisted(
     leaving: LeavingUpstreams, listing: HostListing
 ) -> LeavingUpstreams:
-    """Drop the reports for upstreams that are no longer in the host list."""
+    """Drop what others told of upstreams that the host list lacks now.
+
+    A host that heard it itself tells it again.
+    """
     listed = {u.name for u in listing.upstreams}
     return LeavingUpstreams(
-        {n: t for n, t in leaving.until.items() if n in listed}
+        {
+            name: report
+            for name, report in leaving.reports.items()
+            if report.is_own or name in listed
+        }
     )
 
 
@@ -67,7 +118,7 @@
 ) -> tuple[Upstream, ...]:
     """Return upstreams with the state of those that are leaving updated."""
     return tuple(
-        replace(u, state=HostState.LEAVING) if u.name in leaving.until else u
+        replace(u, state=HostState.LEAVING) if u.name in leaving.reports else u
         for u in upstreams
     )
 
