--- a/wigeongw/gateway/endless_answer_test.py
+++ b/wigeongw/gateway/endless_answer_test.py
@@ -22,6 +22,8 @@
 IDLE_MS = 800.0
 # A final answer may be so much later than the route's timeout.
 SLACK_MS = 500.0
+# Ends a request that the host does not end.
+GIVE_UP_MS = 2.0 * TIMEOUT_MS + SLACK_MS
 MS_PER_S = 1_000.0
 HEAD = f"HTTP/1.1 200 OK\r\n{SIGNATURE_HEADER}\r\n".encode()
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -176,9 +178,14 @@
     async def _fetch(self, request_id: str) -> int:
         """Return the status; 0 when the body is visibly cut."""
         try:
-            status, _, _ = await self.send("/fetch/x", request_id=request_id)
+            async with asyncio.timeout(GIVE_UP_MS / MS_PER_S):
+                status, _, _ = await self.send(
+                    "/fetch/x", request_id=request_id
+                )
         except aiohttp.ClientPayloadError:
             return 0
+        except TimeoutError:
+            self.fail(f"no end {GIVE_UP_MS} ms after the request")
         return status
 
     async def _wait_until_closed(
