--- a/standins/fake_transport.py
+++ b/standins/fake_transport.py
@@ -17,6 +17,7 @@
         self.written = bytearray()
         self.is_ended = False
         self.is_paused = False
+        self.unsent_bytes = 0
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         """Know nothing of a socket."""
@@ -39,8 +40,8 @@
         self.written += data
 
     def get_write_buffer_size(self) -> int:
-        """Return that nothing waits."""
-        return 0
+        """Return what waits to be sent."""
+        return self.unsent_bytes
 
     def set_write_buffer_limits(
         self, high: int | None = None, low: int | None = None
