--- a/wigeongw/adapters/guarded_session_test.py
+++ b/wigeongw/adapters/guarded_session_test.py
@@ -1,8 +1,8 @@
 """Bytes that are no answer end a connection, whoever reads with aiohttp.
 
 The peer sends from a thread of its own with a small buffer, so that what it
-could send is what was taken. Bounds are in bytes; only a test of the event
-loop's turns counts turns.
+could send is what was taken. Bounds are in bytes, so that nothing depends on
+the machine's speed.
 """
 
 import asyncio
