serve: frames of another host are processed in turns

Cause: the stream between entry hosts bounds the bytes of a frame (4 MiB), but processed all frames that a read had brought in one turn of the event loop, so that a stream of small ones kept the host from everybody else.

Change: 256 frames a turn; the rest waits for the next one, and reading is paused until then.

Evidence: peer_stream_test, with the bound taken out: 768 != 256; passes now.

--- a/wigeongw/adapters/peer_stream.py
+++ b/wigeongw/adapters/peer_stream.py
@@ -26,6 +26,8 @@
 LENGTH_PREFIX = struct.Struct(">I")
 MAX_FRAME_BYTES = 4 << 20
 MAX_WRITE_BUFFER_BYTES = 8 << 20
+# Frames of one connection that are processed before others are read.
+MAX_FRAMES_PER_TURN = 256
 
 log = logbook.Logger("peers")
 
@@ -38,11 +40,18 @@
 
 
 class FramedProtocol(asyncio.Protocol):
-    """Sends and receives length-prefixed frames on a connection."""
+    """Sends and receives length-prefixed frames on a connection.
+
+    Attributes:
+        buffer: received bytes that are not processed yet.
+        next_turn: goes on with them in the next turn of the event loop;
+            reading is paused until then.
+    """
 
     def __init__(self) -> None:
         self.transport: Any = None
         self.buffer = bytearray()
+        self.next_turn: asyncio.Handle | None = None
         self.is_flush_scheduled = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -52,10 +61,8 @@
     def data_received(self, data: bytes) -> None:
         """Process complete frames; close the connection on invalid data."""
         self.buffer += data
-        try:
-            self._split_frames()
-        except (PeerError, DecodeError, ValueError) as error:
-            self.drop(str(error))
+        if self.next_turn is None:
+            self._process()
 
     def frame_received(self, frame: bytes) -> None:
         """Process one frame."""
@@ -90,9 +97,32 @@
         if self.transport.get_write_buffer_size() > MAX_WRITE_BUFFER_BYTES:
             self.drop("the write buffer exceeds its limit")
 
-    def _split_frames(self) -> None:
+    def _process(self) -> None:
+        """Process complete frames, and the rest in the next turn."""
+        was_paused = self.next_turn is not None
+        self.next_turn = None
+        if self.transport is not None and self.transport.is_closing():
+            self.buffer.clear()
+            return
+        try:
+            has_more = self._split_frames()
+        except (PeerError, DecodeError, ValueError) as error:
+            self.drop(str(error))
+            return
+        if has_more:
+            self.transport.pause_reading()
+            loop = asyncio.get_running_loop()
+            self.next_turn = loop.call_soon(self._process)
+        elif was_paused:
+            self.transport.resume_reading()
+
+    def _split_frames(self) -> bool:
+        """Process the frames of one turn; return whether it left any."""
         start = 0
+        count = 0
         while len(self.buffer) - start >= LENGTH_PREFIX.size:
+            if count == MAX_FRAMES_PER_TURN:
+                break
             (size,) = LENGTH_PREFIX.unpack_from(self.buffer, start)
             if size > MAX_FRAME_BYTES:
                 raise PeerError(
@@ -105,7 +135,9 @@
                 bytes(self.buffer[start + LENGTH_PREFIX.size : end])
             )
             start = end
+            count += 1
         del self.buffer[:start]
+        return count == MAX_FRAMES_PER_TURN
 
 
 class HolderProtocol(FramedProtocol):
--- a/wigeongw/adapters/peer_stream_test.py
+++ b/wigeongw/adapters/peer_stream_test.py
@@ -6,11 +6,13 @@
 
 import asyncio
 import unittest
+import unittest.mock
 
 from wigeongw.adapters.peer_pb import peer_pb2 as pb
 from wigeongw.adapters.peer_stream import GrantorProtocol
 from wigeongw.adapters.peer_stream import LENGTH_PREFIX
 from wigeongw.adapters.peer_stream import MAX_FRAME_BYTES
+from wigeongw.adapters.peer_stream import MAX_FRAMES_PER_TURN
 from wigeongw.core.clock import ManualClock
 from wigeongw.core.records import Revision
 from wigeongw.decisions.messages import Ask
@@ -49,6 +51,13 @@
     """A transport that only records whether it was aborted."""
 
     aborted = False
+    paused = False
+
+    def pause_reading(self) -> None:
+        self.paused = True
+
+    def resume_reading(self) -> None:
+        self.paused = False
 
     def abort(self) -> None:
         self.aborted = True
@@ -68,7 +77,7 @@
     return batch
 
 
-class GrantorProtocolTest(unittest.TestCase):
+class GrantorProtocolTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.events = RecordingEvents()
         self.opened: list[str] = []
@@ -117,6 +126,26 @@
                 self.protocol.data_received(data)
                 self.assertTrue(self.transport.aborted)
 
+    async def test_frames_of_one_read_are_processed_in_turns(self) -> None:
+        """A stream of small frames kept a host from everybody else."""
+        frame = encode_frame(pb.HolderBatch(host="h2"))
+        count = 3 * MAX_FRAMES_PER_TURN
+        received = unittest.mock.Mock(wraps=self.protocol.frame_received)
+        with unittest.mock.patch.object(
+            self.protocol, "frame_received", received
+        ):
+            self.protocol.data_received(frame * count)
+            self.assertEqual(received.call_count, MAX_FRAMES_PER_TURN)
+            self.assertTrue(self.transport.paused)
+            while received.call_count < count:
+                before = received.call_count
+                await asyncio.sleep(0)
+                in_turn = received.call_count - before
+                self.assertLessEqual(in_turn, MAX_FRAMES_PER_TURN)
+            await asyncio.sleep(0)
+        self.assertFalse(self.transport.paused)
+        self.assertEqual(self.protocol.buffer, b"")
+
 
 if __name__ == "__main__":
     unittest.main()
