Names: what an upstream reports of itself is a self report

"Own word" was no term of the field. A report is made, received, told and forgotten; modules, tests, pages and the functions of membership follow. No behaviour changes.

--- a/wigeongw/daemon/site_tracker.py
+++ b/wigeongw/daemon/site_tracker.py
@@ -286,7 +286,7 @@
     def on_upstream_leaving(self, upstream: str, start: str) -> None:
         """Handle an upstream that said itself that it is leaving."""
         is_known = upstream in self.site.leaving.reports
-        leaving = membership.hear_leaving(
+        leaving = membership.note_own_leaving(
             self.site.leaving, upstream, start, self.clock.now()
         )
         site = replace(self.site, leaving=leaving)
@@ -302,7 +302,7 @@
 
         A later start of it is used again.
         """
-        leaving = membership.hear_serving(self.site.leaving, upstream, start)
+        leaving = membership.note_serving(self.site.leaving, upstream, start)
         if leaving is not self.site.leaving:
             log.info("Upstream {} has started again.", upstream)
             self._update_site(replace(self.site, leaving=leaving))
@@ -348,7 +348,7 @@
                 # Finite even when the store has never replied.
                 min(now - site.store_responded_at, 1e12),
                 own_views,
-                site.leaving.heard_here(),
+                site.leaving.own_reports(),
                 tuple(site.fences.values()),
             )
         )
--- a/wigeongw/decisions/leaving_test.py
+++ b/wigeongw/decisions/leaving_test.py
@@ -1,4 +1,4 @@
-"""What an upstream of an entry host says of its leaving counts.
+"""Reports that an upstream leaves: whose they are and when they end.
 
 Hosts tell each other in heartbeats. The load is an upstream that leaves while
 the host list is late, lacks it for a moment, or shows a later start of it.
@@ -28,10 +28,12 @@
 class LeavingTest(unittest.TestCase):
     def setUp(self) -> None:
         nothing = LeavingUpstreams()
-        self.own = membership.hear_leaving(nothing, "u", "start-1", 0.0)
+        self.own = membership.note_own_leaving(nothing, "u", "start-1", 0.0)
         self.told = membership.note_leaving(nothing, ["u"], 0.0)
 
-    def test_own_word_outlasts_a_host_list_without_the_upstream(self) -> None:
+    def test_self_report_outlasts_a_host_list_without_the_upstream(
+        self,
+    ) -> None:
         """It was used again when the list showed it again."""
         self.assertTrue(is_leaving(self.own))
         gone = membership.forget_unlisted(self.own, UNLISTED)
@@ -48,18 +50,18 @@
     def test_later_start_is_used_again(self) -> None:
         for start, expected in (("start-1", True), ("start-2", False)):
             with self.subTest(start=start):
-                after = membership.hear_serving(self.own, "u", start)
+                after = membership.note_serving(self.own, "u", start)
                 self.assertEqual(is_leaving(after), expected)
         self.assertTrue(
-            is_leaving(membership.hear_serving(self.told, "u", "start-2"))
+            is_leaving(membership.note_serving(self.told, "u", "start-2"))
         )
 
-    def test_own_word_holds_as_long_as_it_is_said(self) -> None:
+    def test_self_report_holds_as_long_as_it_is_repeated(self) -> None:
         leaving = self.own
         now = 0.0
         while now < 2.5 * LEAVING_TTL_MS:
             now += LEAVING_TTL_MS / 4.0
-            leaving = membership.hear_leaving(leaving, "u", "start-1", now)
+            leaving = membership.note_own_leaving(leaving, "u", "start-1", now)
             leaving = membership.note_leaving(leaving, [], now)
             self.assertTrue(is_leaving(leaving))
 
@@ -70,7 +72,7 @@
         while now < 3.0 * LEAVING_TTL_MS:
             now += HEARTBEAT_MS
             for at, other in ((0, 1), (1, 0)):
-                names = hosts[other].heard_here()
+                names = hosts[other].own_reports()
                 hosts[at] = membership.note_leaving(hosts[at], names, now)
             if now < LEAVING_TTL_MS:
                 self.assertTrue(all(map(is_leaving, hosts)))
--- a/wigeongw/decisions/membership.py
+++ b/wigeongw/decisions/membership.py
@@ -4,11 +4,12 @@
 while its heartbeats arrive. An upstream counts as leaving as soon as the host
 list, one of its own responses or another entry host reports it.
 
-What an upstream said to this host itself holds for a fixed time after it last
-said so, whatever the host list shows meanwhile, and ends when a later start of
-it answers otherwise. Only that is told to other hosts: reports that are passed
-on again and again would keep each other alive. What others told holds for a
-fixed time, or until the host list no longer contains the upstream.
+What an upstream reports to this host itself holds for a fixed time after its
+latest report, whatever the host list shows meanwhile, and ends when a later
+start of it answers otherwise. Only that is told to other hosts: reports that
+are passed on again and again would keep each other alive. What other hosts
+report holds for a fixed time, or until the host list no longer contains the
+upstream.
 """
 
 from collections.abc import Iterable
@@ -51,7 +52,7 @@
 
     reports: dict[str, LeavingReport] = field(default_factory=dict)
 
-    def heard_here(self) -> tuple[str, ...]:
+    def own_reports(self) -> tuple[str, ...]:
         """Return the upstreams that told this host themselves."""
         return tuple(n for n, report in self.reports.items() if report.is_own)
 
@@ -74,7 +75,7 @@
     return LeavingUpstreams(reports)
 
 
-def hear_leaving(
+def note_own_leaving(
     leaving: LeavingUpstreams, name: str, start: str, now: float
 ) -> LeavingUpstreams:
     """Record that an upstream said itself that it leaves."""
@@ -82,7 +83,7 @@
     return LeavingUpstreams({**leaving.reports, name: report})
 
 
-def hear_serving(
+def note_serving(
     leaving: LeavingUpstreams, name: str, start: str
 ) -> LeavingUpstreams:
     """Record an answer of an upstream that does not say that it leaves.
@@ -101,7 +102,7 @@
 ) -> LeavingUpstreams:
     """Drop what others told of upstreams that the host list lacks now.
 
-    A host that heard it itself tells it again.
+    A host to which the upstream reported it tells it again.
     """
     listed = {u.name for u in listing.upstreams}
     return LeavingUpstreams(
--- a/wigeongw/gateway/availability_reader.py
+++ b/wigeongw/gateway/availability_reader.py
@@ -102,8 +102,8 @@
         spread_ms = min(MAX_PAUSE_SPREAD_MS, PAUSE_SPREAD_SHARE * pause_ms)
         held_until = clock.now() + pause_ms
         held_until += spread_ms * self.state.rng.random()
-        word = target.own_word
-        word.held_until = max(word.held_until, held_until)
+        report = target.self_report
+        report.held_until = max(report.held_until, held_until)
         self.state.metrics.count("upstream_pauses_total")
         self.state.log.add(
             "upstream",
--- a/wigeongw/gateway/observation_exchange_test.py
+++ b/wigeongw/gateway/observation_exchange_test.py
@@ -145,12 +145,12 @@
     async def test_rate_limit_is_reported_and_its_end_is_not(self) -> None:
         state = self.states["a"]
         target = state.targets["i-1"]
-        target.own_word.rate_limit = RateLimit(1.5, state.clock.now())
+        target.self_report.rate_limit = RateLimit(1.5, state.clock.now())
         self.probe("a", 1)
         await asyncio.sleep(0.1)
         heard = self.states["b"].targets["i-1"]
         self.assertEqual(heard.limit_per_s, 1.5)
-        target.own_word.rate_limit = RateLimit(None, state.clock.now())
+        target.self_report.rate_limit = RateLimit(None, state.clock.now())
         self.probe("a", 1)
         await asyncio.sleep(0.1)
         self.assertEqual(heard.limit_per_s, 1.5)
--- a/wigeongw/gateway/prober.py
+++ b/wigeongw/gateway/prober.py
@@ -110,7 +110,7 @@
         finally:
             self.in_flight.pop(identity, None)
 
-    def _hear(
+    def _read_head(
         self, target: TargetState, sent_at: float, reply: BufferedReply
     ) -> None:
         """Take in what an upstream says of itself in the head of a response.
@@ -140,7 +140,7 @@
         connection = await self.pool.acquire(target.target)
         sent_at = self.state.clock.now()
         reply = await connection.exchange(
-            head, b"", "", False, partial(self._hear, target, sent_at)
+            head, b"", "", False, partial(self._read_head, target, sent_at)
         )
         self.pool.release(target.target, connection)
         if target.misdirected:
--- a/wigeongw/gateway/rate_limit_reader.py
+++ b/wigeongw/gateway/rate_limit_reader.py
@@ -55,7 +55,7 @@
         if per_s is None and not self._may_end(target, response_kind, sent_at):
             return
         now = self.state.clock.now()
-        target.own_word.rate_limit = RateLimit(per_s, now)
+        target.self_report.rate_limit = RateLimit(per_s, now)
         if per_s != before:
             self._log_change(target, before, per_s, response_kind, request_id)
 
--- a/wigeongw/gateway/rate_limit_test.py
+++ b/wigeongw/gateway/rate_limit_test.py
@@ -108,7 +108,9 @@
         ) -> UpstreamConnection:
             connection = await acquire(found)
             if found.identity == "one":
-                target.own_word.rate_limit = RateLimit(1.0, host.clock.now())
+                target.self_report.rate_limit = RateLimit(
+                    1.0, host.clock.now()
+                )
             return connection
 
         self.upstreams[1].load = SLOW
--- a/wigeongw/gateway/rate_limiter_test.py
+++ b/wigeongw/gateway/rate_limiter_test.py
@@ -121,8 +121,8 @@
         return self.states[host].targets["u"]
 
     def set_limit(self, host: str, per_s: float | None) -> None:
-        word = self.target(host).own_word
-        word.rate_limit = RateLimit(per_s, self.clock.now())
+        report = self.target(host).self_report
+        report.rate_limit = RateLimit(per_s, self.clock.now())
 
     async def admit(self, host: str) -> Admission | None:
         return await self.limiters[host].admit(self.target(host), "id-1")
--- a/wigeongw/gateway/own_word.py
+++ b/wigeongw/gateway/self_report.py
@@ -1,8 +1,8 @@
-"""What upstreams say of themselves, kept apart from the entries of the view.
+"""What upstreams report of themselves, kept apart from entries of the view.
 
-An upstream's word counts from when it is heard, for the start that said it. An
+A report counts from when it is received, for the start that made it. An
 entry may be rewritten, or be gone and come back, while a request is at the
-upstream; the answer still refers to the same record.
+upstream; its answer still refers to the same report.
 """
 
 from dataclasses import dataclass
@@ -11,8 +11,8 @@
 from wigeongw.core.site import Target
 
 NEVER = float("-inf")
-# Records of upstreams that are not in the view: of those that said something,
-# and of those that did not but may still answer. The oldest are dropped.
+# Reports of upstreams that are not in the view: those with contents, and empty
+# ones, as an answer may still come. The oldest are dropped.
 MAX_GONE = 2_000
 
 
@@ -35,7 +35,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class OwnWord:
+class SelfReport:
     """What one start of an upstream has said of itself to this host.
 
     All times are in milliseconds on the monotonic clock.
@@ -66,35 +66,35 @@
             self.rate_limit = limit
 
 
-class OwnWords:
-    """The words of all upstreams that this host knows or knew lately.
+class SelfReports:
+    """The reports of all upstreams that this host knows or knew lately.
 
     Attributes:
-        present: records of the upstreams in the view.
-        gone: records of others that said something, oldest first.
-        gone_silent: records of others that said nothing, oldest first.
+        present: those of the upstreams in the view.
+        gone: those of others that reported something, oldest first.
+        gone_empty: those of others, empty so far, oldest first.
     """
 
     def __init__(self) -> None:
-        self.present: dict[UpstreamStart, OwnWord] = {}
-        self.gone: dict[UpstreamStart, OwnWord] = {}
-        self.gone_silent: dict[UpstreamStart, OwnWord] = {}
+        self.present: dict[UpstreamStart, SelfReport] = {}
+        self.gone: dict[UpstreamStart, SelfReport] = {}
+        self.gone_empty: dict[UpstreamStart, SelfReport] = {}
 
-    def enter(self, target: Target) -> OwnWord:
-        """Return the record of an upstream that is in the view."""
+    def add(self, target: Target) -> SelfReport:
+        """Return the report of an upstream that is in the view."""
         start = UpstreamStart.of(target)
-        for kept in (self.gone, self.gone_silent):
+        for kept in (self.gone, self.gone_empty):
             if start in kept:
                 self.present[start] = kept.pop(start)
-        return self.present.setdefault(start, OwnWord())
+        return self.present.setdefault(start, SelfReport())
 
-    def leave(self, target: Target) -> None:
-        """Keep the record of an upstream that is no longer in the view."""
+    def remove(self, target: Target) -> None:
+        """Keep the report of an upstream that is no longer in the view."""
         start = UpstreamStart.of(target)
-        word = self.present.pop(start, None)
-        if word is None:
+        report = self.present.pop(start, None)
+        if report is None:
             return
-        kept = self.gone_silent if word.is_empty else self.gone
-        kept[start] = word
+        kept = self.gone_empty if report.is_empty else self.gone
+        kept[start] = report
         if len(kept) > MAX_GONE:
             del kept[next(iter(kept))]
--- a/wigeongw/gateway/own_word_test.py
+++ b/wigeongw/gateway/self_report_test.py
@@ -65,7 +65,7 @@
         """Tell nobody."""
 
 
-class OwnWordMachine(RuleBasedStateMachine):
+class SelfReportMachine(RuleBasedStateMachine):
     """Compares a host's state with what upstreams have said, by start."""
 
     def __init__(self) -> None:
@@ -190,7 +190,7 @@
         )
 
     @invariant()
-    def words_count(self) -> None:
+    def reports_count(self) -> None:
         """Each upstream of the view is treated as it has said."""
         now = self.clock.now()
         for identity, target in self.state.targets.items():
@@ -204,17 +204,17 @@
                 assert not self.state.is_usable(target), "usable"
 
 
-OwnWordTest = OwnWordMachine.TestCase
-OwnWordTest.settings = settings(
+SelfReportTest = SelfReportMachine.TestCase
+SelfReportTest.settings = settings(
     max_examples=60, stateful_step_count=30, deadline=None
 )
 
 
 class AnswerAfterReturnTest(unittest.TestCase):
-    """The orders in which a word was lost."""
+    """The orders in which a report was lost."""
 
     def setUp(self) -> None:
-        self.machine = OwnWordMachine()
+        self.machine = SelfReportMachine()
         self.addCleanup(self.machine.teardown)
 
     def be_gone_and_back(self) -> None:
@@ -222,11 +222,13 @@
         self.machine.entry_is_written("one", 4)
 
     def say(self, **said: bool) -> None:
-        words = dict.fromkeys(("says_leaving", "pauses", "is_limited"), False)
-        self.machine.answer_comes(**{**words, **said}, newest=True)
+        nothing = dict.fromkeys(
+            ("says_leaving", "pauses", "is_limited"), False
+        )
+        self.machine.answer_comes(**{**nothing, **said}, newest=True)
 
-    def expect(self, **said: bool) -> None:
-        """Let words count that come before and after a return."""
+    def expect_kept(self, **said: bool) -> None:
+        """Let reports count that come before and after a return."""
         for is_before in (True, False):
             with self.subTest(is_before=is_before):
                 self.machine.request_is_sent("one")
@@ -235,23 +237,23 @@
                 self.be_gone_and_back()
                 if not is_before:
                     self.say(**said)
-                self.machine.words_count()
+                self.machine.reports_count()
             self.machine.upstream_starts_again("one")
 
     def test_leaving(self) -> None:
         """It was used again if its entry came back before its answer."""
-        self.expect(says_leaving=True)
+        self.expect_kept(says_leaving=True)
 
     def test_pause(self) -> None:
         """A pause ended with the entry."""
-        self.expect(pauses=True)
+        self.expect_kept(pauses=True)
 
     def test_rate_limit(self) -> None:
         """A limit ended with the entry, until the next answer named it."""
-        self.expect(is_limited=True)
+        self.expect_kept(is_limited=True)
 
     def test_many_departures_do_not_displace_what_is_in_use(self) -> None:
-        """Words of upstreams in the view are kept beside any number gone."""
+        """Reports of upstreams in the view are kept beside any number gone."""
         self.machine.request_is_sent("one")
         self.say(says_leaving=True)
         for number in range(3_000):
@@ -261,7 +263,7 @@
             self.machine.state.mark_leaving(states[target.identity])
             self.machine.apply(TargetGone(target.identity))
         self.be_gone_and_back()
-        self.machine.words_count()
+        self.machine.reports_count()
 
 
 if __name__ == "__main__":
--- a/wigeongw/gateway/state.py
+++ b/wigeongw/gateway/state.py
@@ -35,10 +35,10 @@
 from wigeongw.gateway.decision_log import DecisionLog
 from wigeongw.gateway.grantor_directory import GrantorDirectory
 from wigeongw.gateway.limit_shares import LimitShares
-from wigeongw.gateway.own_word import NEVER
-from wigeongw.gateway.own_word import OwnWords
-from wigeongw.gateway.own_word import UpstreamStart
 from wigeongw.gateway.rollout_traffic import RolloutTraffic
+from wigeongw.gateway.self_report import NEVER
+from wigeongw.gateway.self_report import SelfReports
+from wigeongw.gateway.self_report import UpstreamStart
 from wigeongw.gateway.target_state import TargetState
 from wigeongw.ports.catalog import UNKNOWN_ERA
 
@@ -77,8 +77,8 @@
         relay_plan: who asks whom for changes, by the hosts of the view.
         store_era: the highest era of the store that this host knows.
         rollouts: which version of a service requests go to.
-        own_words: what upstreams say of themselves; kept apart from the view,
-            which may lose and regain their entries.
+        self_reports: what upstreams report of themselves; kept apart from the
+            view, which may lose and regain their entries.
         store_returned: set, and then replaced, when the store answers again
             and when the view is of a new era of the store.
     """
@@ -120,7 +120,7 @@
         self.store_era = UNKNOWN_ERA
         self.relay_plan = relay_selection.make_plan(())
         self.store_returned = asyncio.Event()
-        self.own_words = OwnWords()
+        self.self_reports = SelfReports()
         self.rollouts = RolloutTraffic(clock, rng)
 
     @property
@@ -290,7 +290,7 @@
         """
         if state.is_leaving:
             return False
-        state.own_word.is_leaving = True
+        state.self_report.is_leaving = True
         return True
 
     def pause_ms(self, service: str) -> float | None:
@@ -380,7 +380,7 @@
     def learn_rate_limit(self, target: TargetState, limit: RateLimit) -> None:
         """Apply what another host knows about the limit of an upstream."""
         before = target.limit_per_s
-        target.own_word.learn_rate_limit(limit)
+        target.self_report.learn_rate_limit(limit)
         if target.limit_per_s == before:
             return
         self.log.add(
@@ -471,14 +471,14 @@
         for identity, state in list(self.targets.items()):
             if identity not in self.view.targets:
                 del self.targets[identity]
-                self.own_words.leave(state.target)
+                self.self_reports.remove(state.target)
                 removed.append(state.target)
         for identity, target in self.view.targets.items():
             known = self.targets.get(identity)
             if known is None:
                 self.targets[identity] = self._new_target_state(target)
             elif _is_other_start(known.target, target):
-                self.own_words.leave(known.target)
+                self.self_reports.remove(known.target)
                 removed.append(known.target)
                 self.targets[identity] = self._new_target_state(target)
             else:
@@ -521,7 +521,7 @@
             self.shares.new_probe_bucket(target),
             self.shares.new_cold_bucket(target),
             cold_until=self.clock.now() + target.cold_left_ms,
-            own_word=self.own_words.enter(target),
+            self_report=self.self_reports.add(target),
         )
 
 
--- a/wigeongw/gateway/target_state.py
+++ b/wigeongw/gateway/target_state.py
@@ -9,7 +9,7 @@
 from wigeongw.core.site import Target
 from wigeongw.decisions.estimates import FailureRate
 from wigeongw.decisions.host_limits import TokenBucket
-from wigeongw.gateway.own_word import OwnWord
+from wigeongw.gateway.self_report import SelfReport
 
 # Backoff after an upstream could not be reached, doubled with each further
 # failure.
@@ -61,7 +61,7 @@
             another host reported.
         misdirected: its address now belongs to another upstream.
         in_subset: it belongs to the upstreams that this host prefers.
-        own_word: what it said of itself; outlasts this state.
+        self_report: what it said of itself; outlasts this state.
         denied_until: by grantor, the time until which it is not asked for a
             request to this upstream.
         flights: this host's requests that it has.
@@ -86,7 +86,7 @@
     peer_reported_silent_at: float = float("-inf")
     misdirected: bool = False
     in_subset: bool = True
-    own_word: OwnWord = field(default_factory=OwnWord)
+    self_report: SelfReport = field(default_factory=SelfReport)
     denied_until: dict[str, float] = field(default_factory=dict)
     flights: set["Flight"] = field(default_factory=set)
 
@@ -122,17 +122,17 @@
     @property
     def is_leaving(self) -> bool:
         """Whether it said that it leaves; only a later start is used again."""
-        return self.own_word.is_leaving
+        return self.self_report.is_leaving
 
     @property
     def held_until(self) -> float:
         """End of the pause that it asked this host for."""
-        return self.own_word.held_until
+        return self.self_report.held_until
 
     @property
     def rate_limit(self) -> RateLimit | None:
         """The latest that it said of a rate limit; None for nothing yet."""
-        return self.own_word.rate_limit
+        return self.self_report.rate_limit
 
     @property
     def limit_per_s(self) -> float | None:
--- a/wigeongw/gateway/upstream_sender.py
+++ b/wigeongw/gateway/upstream_sender.py
@@ -121,7 +121,7 @@
                 request.body,
                 request.request_id,
                 request.method == "HEAD",
-                partial(self._hear, state, request, sent_at),
+                partial(self._read_head, state, request, sent_at),
             )
         except ExchangeError as error:
             if error.sent and error.is_broken:
@@ -181,7 +181,7 @@
         outcome = Outcome.UNKNOWN if error.sent else Outcome.NOT_RUN
         return Attempt(placement, None, outcome, error.sent, error.reason)
 
-    def _hear(
+    def _read_head(
         self,
         state: TargetState,
         request: Request,
